--- /dev/null
+++ b/crates/config/src/tree.rs
@@ -0,0 +1,231 @@
+//! The operators' tree: estate, owners, services and request kinds.
+//!
+//! The whole tree is one object in the platform's store, so that every change is ordered by its
+//! version and the month's say changes hands in the same conditional update that fences it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
+use std::str::FromStr;
+
+use monsoondeal_core::{Findings, LeafId, RequestKind, TreeVersion};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::change::ChangeId;
+use crate::setting::{LeafLimits, apply_to_kind, apply_to_limits};
+
+/// What a name looks like.
+pub const NAME_RULE: &str = "1 to 63 lower-case letters, digits and hyphens";
+/// Longest name.
+const NAME_LIMIT: usize = 63;
+
+/// Returns whether `text` is a name.
+pub fn is_name(text: &str) -> bool {
+    let plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    (1..=NAME_LIMIT).contains(&text.len()) && text.chars().all(plain)
+}
+
+/// Values that a level sets itself, by setting name.
+pub type Overrides = BTreeMap<String, Value>;
+
+/// `Level` is a place in the tree. Written as `/`, `/owner`, `/owner/service` or
+/// `/owner/service/kind`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Level {
+    /// Invariant: at most three names.
+    names: Vec<String>,
+}
+
+impl Level {
+    /// Returns the top of the tree.
+    pub fn estate() -> Self {
+        Self::default()
+    }
+
+    /// Returns the level of a request kind.
+    pub fn kind(owner: &str, service: &str, kind: &str) -> Self {
+        Self {
+            names: vec![owner.to_owned(), service.to_owned(), kind.to_owned()],
+        }
+    }
+
+    /// Returns the names from the owner down.
+    pub fn names(&self) -> &[String] {
+        &self.names
+    }
+
+    /// Returns the owner that the level belongs to.
+    pub fn owner(&self) -> Option<&str> {
+        self.names.first().map(String::as_str)
+    }
+
+    /// Returns this level and those above it, the top first.
+    pub fn lineage(&self) -> impl Iterator<Item = Self> + '_ {
+        (0..=self.names.len()).map(|n| Self {
+            names: self.names[..n].to_vec(),
+        })
+    }
+}
+
+impl fmt::Display for Level {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "/{}", self.names.join("/"))
+    }
+}
+
+impl From<Level> for String {
+    fn from(level: Level) -> Self {
+        level.to_string()
+    }
+}
+
+impl TryFrom<String> for Level {
+    type Error = Findings;
+
+    fn try_from(text: String) -> Result<Self, Findings> {
+        text.parse()
+    }
+}
+
+impl FromStr for Level {
+    type Err = Findings;
+
+    fn from_str(text: &str) -> Result<Self, Findings> {
+        let rule = format!("'{text}' must be /, /owner, /owner/service or /owner/service/kind");
+        let Some(rest) = text.strip_prefix('/') else {
+            return Err(Findings::single("level", rule));
+        };
+        if rest.is_empty() {
+            return Ok(Self::estate());
+        }
+        let names: Vec<String> = rest.split('/').map(str::to_owned).collect();
+        if names.len() > 3 || !names.iter().all(|n| is_name(n)) {
+            return Err(Findings::single(
+                "level",
+                format!("{rule}; a name is {NAME_RULE}"),
+            ));
+        }
+        Ok(Self { names })
+    }
+}
+
+/// `Service` is a service of one owner.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Owner that it belongs to.
+    pub owner: String,
+    /// Cell whose nodes serve it.
+    pub cell: String,
+}
+
+/// `Say` tells who has the final say.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Say {
+    /// Owner who has it.
+    pub owner: String,
+    /// Month for which it was handed over, as in 2026-12.
+    pub month: String,
+    /// Counts the handovers; fences writes of earlier holders.
+    pub term: u64,
+}
+
+/// `Tree` is the operators' configuration.
+///
+/// Invariants: every override names an existing setting and fits it; every service's owner exists;
+/// overrides stand only at levels that exist, where a kind exists once it has an override.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tree {
+    /// Grows by one with each accepted change.
+    pub version: TreeVersion,
+    /// All owners.
+    pub owners: BTreeSet<String>,
+    /// All services by name.
+    pub services: BTreeMap<String, Service>,
+    /// Values by the level that sets them.
+    pub overrides: BTreeMap<Level, Overrides>,
+    /// Holder of the final say; none until the first handover.
+    pub say: Option<Say>,
+    /// Failure domains taken out.
+    pub domains_out: BTreeSet<String>,
+    /// Leafs that are leaving.
+    pub leaving: BTreeSet<LeafId>,
+    /// The latest accepted changes, newest last, so that a writer whose reply was lost can tell.
+    pub recent: VecDeque<ChangeId>,
+}
+
+/// `Origin` tells where a resolved value comes from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Origin {
+    /// The value in force.
+    pub value: Value,
+    /// Level that sets it; `None` for the built-in default.
+    pub level: Option<Level>,
+}
+
+/// `Resolved` is what applies to one request kind of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Resolved {
+    /// Treatment of requests.
+    pub kind: RequestKind,
+    /// Limits of leafs. The kind level has no part in them.
+    pub limits: LeafLimits,
+}
+
+impl Tree {
+    /// Returns what applies to a kind of a service, or `None` if there is no such service.
+    ///
+    /// A kind without overrides of its own takes everything from its service.
+    pub fn resolve(&self, service: &str, kind: &str) -> Option<Resolved> {
+        let owner = &self.services.get(service)?.owner;
+        let level = Level::kind(owner, service, kind);
+        let mut resolved = Resolved {
+            kind: RequestKind::default(),
+            limits: LeafLimits::default(),
+        };
+        for (depth, level) in level.lineage().enumerate() {
+            for (name, value) in self.overrides.get(&level).into_iter().flatten() {
+                apply_to_kind(&mut resolved.kind, name, value);
+                // A leaf serves all kinds, so its limits end at the service.
+                if depth <= 2 {
+                    apply_to_limits(&mut resolved.limits, name, value);
+                }
+            }
+        }
+        Some(resolved)
+    }
+
+    /// Returns the value of a setting at a level and where it comes from, or `None` where no level
+    /// sets it.
+    pub fn origin(&self, level: &Level, setting: &str) -> Option<Origin> {
+        let mut found = None;
+        for level in level.lineage() {
+            let value = self.overrides.get(&level).and_then(|o| o.get(setting));
+            if let Some(value) = value {
+                found = Some(Origin {
+                    value: value.clone(),
+                    level: Some(level),
+                });
+            }
+        }
+        found
+    }
+
+    /// Returns whether the level exists. A kind exists wherever its service does.
+    pub fn has_level(&self, level: &Level) -> bool {
+        match level.names() {
+            [] => true,
+            [owner] => self.owners.contains(owner),
+            [owner, service, ..] => self
+                .services
+                .get(service)
+                .is_some_and(|s| s.owner == *owner),
+        }
+    }
+
+    /// Iterates over the services of a cell.
+    pub fn cell_services<'a>(&'a self, cell: &'a str) -> impl Iterator<Item = &'a str> {
+        let services = self.services.iter().filter(move |(_, s)| s.cell == cell);
+        services.map(|(name, _)| name.as_str())
+    }
+}
--- /dev/null
+++ b/crates/core/src/finding.rs
@@ -0,0 +1,96 @@
+//! Findings on input, collected with their place and reported together.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// `Place` is where a finding was made. Lines and columns count from 1; zero stands for a value
+/// that did not come from a text.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Place {
+    /// File or other source.
+    pub file: String,
+    /// Line, from 1.
+    pub line: usize,
+    /// Column, from 1.
+    pub column: usize,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line == 0 {
+            return f.write_str(&self.file);
+        }
+        write!(f, "{}:{}:{}", self.file, self.line, self.column)
+    }
+}
+
+/// `Finding` is one fault in an input.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    /// Where it was found.
+    pub place: Place,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.message)
+    }
+}
+
+/// `Findings` are all the faults of one input.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(transparent)]
+pub struct Findings(pub Vec<Finding>);
+
+impl Findings {
+    /// Adds a finding.
+    pub fn add(&mut self, place: Place, message: impl Into<String>) {
+        self.0.push(Finding {
+            place,
+            message: message.into(),
+        });
+    }
+
+    /// Returns findings with one entry that has no line.
+    pub fn single(source: &str, message: impl Into<String>) -> Self {
+        let mut findings = Self::default();
+        findings.add(
+            Place {
+                file: source.to_owned(),
+                ..Place::default()
+            },
+            message,
+        );
+        findings
+    }
+
+    /// Returns `value` if nothing was found.
+    ///
+    /// # Errors
+    ///
+    /// The findings, if there are any.
+    pub fn or_ok<T>(self, value: T) -> Result<T, Self> {
+        if self.0.is_empty() {
+            Ok(value)
+        } else {
+            Err(self)
+        }
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, finding) in self.0.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,20 @@
+//! Shared vocabulary of the query tier: identities, explicit time, snapshots, coverage, request
+//! kinds, outcomes and findings.
+//!
+//! Nothing here does I/O. Every other crate builds on these types, so they stay small and plain.
+
+pub mod finding;
+pub mod ids;
+pub mod kind;
+pub mod outcome;
+pub mod seat;
+pub mod snapshot;
+pub mod time;
+
+pub use finding::{Finding, Findings, Place};
+pub use ids::{CallId, Epoch, IndexVersion, LeafId, MapVersion, NodeId, TreeVersion};
+pub use kind::{Priority, RequestKind};
+pub use outcome::{Doubt, Refusal};
+pub use seat::LeafSeat;
+pub use snapshot::{Coverage, Snapshot};
+pub use time::{Clock, Time};
--- /dev/null
+++ b/crates/engine/src/control.rs
@@ -0,0 +1,729 @@
+//! Membership, the configuration feed and what is written to the store.
+//!
+//! Two nodes of a cell watch the store and push what is new to the others; a heartbeat that shows a
+//! later version makes a node fetch it, so a lost push costs one heartbeat.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use monsoondeal_config::{ServiceMap, Tree};
+use monsoondeal_core::{Epoch, LeafId, LeafSeat, NodeId, Time};
+use monsoondeal_member::Roster;
+use monsoondeal_route::{Placement, Plan, PlanGroup, place, seat};
+use serde::de::DeserializeOwned;
+
+use crate::engine::{Engine, Timer};
+use crate::io::{LinkId, Object, Output};
+use crate::message::{Message, State, StoredMap, Versions};
+
+/// Nodes of a cell that watch the store.
+const WATCHERS: usize = 2;
+/// How long leafs that left the partition map keep their holder, for queries pinned to the old map.
+const RETIRE_AFTER: Duration = Duration::from_secs(12);
+/// Cells up to this size confirm their leases by the store when too few peers are heard.
+const STORE_CONFIRM_LIMIT: usize = 4;
+/// Wait of the second watcher and of joining nodes before they write a roster.
+const TURN_WAIT: Duration = Duration::from_millis(300);
+/// A pause of the whole process longer than this makes requests that waited meanwhile suspect.
+const PAUSE_LIMIT: Duration = Duration::from_secs(5);
+/// How long after such a pause requests count as having waited.
+const PAUSE_SHADOW: Duration = Duration::from_secs(2);
+/// Number of places that idempotency keys are spread over.
+pub(crate) const KEY_PLACES: u32 = 64;
+
+/// Key of the tree in the store.
+pub const TREE_KEY: &str = "tree";
+
+/// Returns the key of a cell's roster in the store.
+pub fn roster_key(cell: &str) -> String {
+    format!("roster/{cell}")
+}
+
+/// Returns the key of a service's partition map in the store.
+pub fn map_key(service: &str) -> String {
+    format!("map/{service}")
+}
+
+/// A partition map and the plan made from it.
+#[derive(Clone, Debug)]
+pub(crate) struct MapState {
+    pub(crate) revision: u64,
+    pub(crate) map: Rc<ServiceMap>,
+    pub(crate) plan: Rc<Plan>,
+}
+
+/// What is known of a leaf.
+#[derive(Clone, Debug)]
+pub(crate) struct LeafInfo {
+    pub(crate) service: Rc<str>,
+    pub(crate) group: u32,
+    pub(crate) addr: SocketAddr,
+    pub(crate) domain: String,
+    /// Since when no partition map lists it.
+    pub(crate) retired: Option<Time>,
+}
+
+/// Configuration in force at this node.
+#[derive(Debug, Default)]
+pub(crate) struct Config {
+    pub(crate) tree: Option<Rc<Tree>>,
+    pub(crate) maps: BTreeMap<String, MapState>,
+    pub(crate) leafs: HashMap<LeafId, LeafInfo>,
+}
+
+/// Who holds what, computed from the roster.
+#[derive(Debug, Default)]
+pub(crate) struct Seats {
+    pub(crate) leafs: Placement,
+    pub(crate) leafs_before: Placement,
+    pub(crate) keys: Placement,
+    pub(crate) keys_before: Placement,
+}
+
+/// State of membership and roles.
+#[derive(Debug, Default)]
+pub(crate) struct Control {
+    /// Keys that are watched.
+    watched: BTreeSet<String>,
+    /// Store version of the roster, with the epoch and whether it was settled.
+    stored: Option<(Option<u64>, Epoch, bool)>,
+    /// Since when a write is under way.
+    writing: Option<Time>,
+    /// Since when this node would write a roster.
+    wanted_since: Option<Time>,
+    /// Last fetch from a peer.
+    fetched: HashMap<SocketAddr, Time>,
+    last_read: Option<Time>,
+    last_input: Option<Time>,
+    /// Until when requests may have waited out a pause of this process.
+    pub(crate) suspect_until: Time,
+    pub(crate) stopping: bool,
+    stopped: bool,
+    /// Objects that could not be read.
+    pub(crate) faults: BTreeMap<String, String>,
+}
+
+/// A peer that this node connects to.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Peer {
+    /// Whether the connection is up.
+    pub(crate) up: bool,
+    /// When it was last heard.
+    pub(crate) heard: Option<Time>,
+}
+
+/// A connection that a peer has opened.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Link {
+    /// `sent` of the newest heartbeat.
+    beat: u64,
+    /// Least difference seen between this clock and the peer's.
+    offset: Option<i128>,
+}
+
+impl Link {
+    /// Returns how long ago a message was sent, by the fastest message seen on the connection.
+    pub(crate) fn age(&self, sent: u64, now: Time) -> Duration {
+        let Some(offset) = self.offset else {
+            return Duration::ZERO;
+        };
+        let age = i128::from(now.as_micros()) - i128::from(sent) - offset;
+        Duration::from_micros(u64::try_from(age).unwrap_or(0))
+    }
+
+    fn note_sent(&mut self, sent: u64, now: Time) {
+        let offset = i128::from(now.as_micros()) - i128::from(sent);
+        self.offset = Some(self.offset.map_or(offset, |old| old.min(offset)));
+    }
+}
+
+impl Engine {
+    /// Notes how long the process stood still before this input.
+    pub(crate) fn note_pause(&mut self, now: Time) {
+        let last = self.control.last_input.replace(now);
+        if last.is_some_and(|last| now.since(last) > PAUSE_LIMIT) {
+            self.control.suspect_until = now + PAUSE_SHADOW;
+        }
+    }
+
+    /// Returns what this node knows.
+    pub(crate) fn versions(&self) -> Versions {
+        let roster = self.cell.roster();
+        Versions {
+            tree: self
+                .config
+                .tree
+                .as_ref()
+                .map(|t| t.version)
+                .unwrap_or_default(),
+            epoch: roster.epoch,
+            settled: roster.previous.is_none(),
+            maps: self.config.maps.values().map(|m| m.revision).sum(),
+        }
+    }
+
+    /// Returns whether this node can serve callers: it has a tree and a roster.
+    pub fn is_ready(&self) -> bool {
+        self.config.tree.is_some() && !self.cell.roster().members.is_empty()
+    }
+
+    pub(crate) fn on_peer_up(&mut self, addr: SocketAddr, now: Time, out: &mut Vec<Output>) {
+        self.peers.insert(
+            addr,
+            Peer {
+                up: true,
+                heard: Some(now),
+            },
+        );
+        self.send_beat(addr, now, out);
+        self.send_keys(addr, out);
+    }
+
+    pub(crate) fn on_peer_down(&mut self, addr: SocketAddr, now: Time, out: &mut Vec<Output>) {
+        if let Some(peer) = self.peers.get_mut(&addr) {
+            peer.up = false;
+        }
+        self.lose_peer_calls(addr, now, out);
+        self.lose_peer_orders(addr, now, out);
+    }
+
+    pub(crate) fn on_link_down(&mut self, link: LinkId) {
+        self.links.remove(&link);
+    }
+
+    pub(crate) fn on_beat(&mut self, link: LinkId, sent: u64, now: Time, out: &mut Vec<Output>) {
+        let state = self.links.entry(link).or_default();
+        state.note_sent(sent, now);
+        state.beat = sent;
+        self.reply_beat(link, sent, out);
+    }
+
+    pub(crate) fn send_state(&mut self, link: LinkId, out: &mut Vec<Output>) {
+        let state = self.state();
+        self.counts.control_messages += 1;
+        out.push(Output::ToLink(link, Message::State(Box::new(state))));
+    }
+
+    /// Fetches configuration from a peer that knows more.
+    pub(crate) fn compare_versions(
+        &mut self,
+        addr: SocketAddr,
+        theirs: Versions,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.versions().is_behind(&theirs) {
+            return;
+        }
+        let recent = self.control.fetched.get(&addr);
+        if recent.is_some_and(|&at| now < at + self.cell.settings().heartbeat) {
+            return;
+        }
+        self.control.fetched.insert(addr, now);
+        self.counts.control_messages += 1;
+        out.push(Output::ToPeer(addr, Message::Fetch));
+    }
+
+    pub(crate) fn on_state(&mut self, state: State, now: Time, out: &mut Vec<Output>) {
+        if let Some(tree) = state.tree {
+            self.learn_tree(tree, now);
+        }
+        for stored in state.maps {
+            self.learn_map(stored, now);
+        }
+        if let Some(roster) = state.roster {
+            self.learn_roster(roster, now, out);
+        }
+    }
+
+    /// Takes in an object read from the store, and pushes it to the peers if it is news.
+    pub(crate) fn on_object(
+        &mut self,
+        key: &str,
+        object: Option<Object>,
+        asked: Time,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let mut news = State::default();
+        if key == TREE_KEY {
+            let Some(tree) = self.parse::<Tree>(key, object.as_ref()) else {
+                return;
+            };
+            if self.learn_tree(tree.clone(), now) {
+                news.tree = Some(tree);
+            }
+        } else if key == roster_key(&self.settings.cell) {
+            let roster = match &object {
+                Some(_) => match self.parse::<Roster>(key, object.as_ref()) {
+                    Some(roster) => roster,
+                    None => return,
+                },
+                None => Roster::default(),
+            };
+            let version = object.as_ref().map(|o| o.version);
+            self.control.stored = Some((version, roster.epoch, roster.previous.is_none()));
+            if self.learn_roster(roster.clone(), now, out) {
+                news.roster = Some(roster.clone());
+            }
+            self.cell.on_store_read(asked, roster.epoch);
+        } else if let Some(object) = &object {
+            let Some(map) = self.parse::<ServiceMap>(key, Some(object)) else {
+                return;
+            };
+            if let Err(findings) = map.check() {
+                self.control
+                    .faults
+                    .insert(key.to_owned(), findings.to_string());
+                return;
+            }
+            let stored = StoredMap {
+                revision: object.version,
+                map,
+            };
+            if self.learn_map(stored.clone(), now) {
+                news.maps.push(stored);
+            }
+        }
+        self.push_news(news, out);
+        self.timers.set(Timer::Control, now);
+    }
+
+    /// Handles the end of a write. Whatever it was, only a read tells what the store holds now, and
+    /// under which version the next write can be made.
+    pub(crate) fn on_written(&mut self, key: &str, out: &mut Vec<Output>) {
+        self.control.writing = None;
+        self.read(key.to_owned(), out);
+    }
+
+    pub(crate) fn on_beat_timer(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.timers
+            .set(Timer::Beat, now + self.cell.settings().heartbeat);
+        self.send_beats(now, out);
+    }
+
+    /// Looks at membership: whom to connect to, what to watch and whether to write a roster.
+    pub(crate) fn on_control_timer(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.timers
+            .set(Timer::Control, now + self.cell.settings().heartbeat / 2);
+        self.purge_retired(now);
+        self.cell.forget_strangers();
+        self.update_peers(now, out);
+        self.update_watches(now, out);
+        self.confirm_by_store(now, out);
+        self.propose_roster(now, out);
+    }
+
+    pub(crate) fn on_stop(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.control.stopping = true;
+        self.cell.leave();
+        self.announce(out);
+        self.timers.set(Timer::Control, now);
+    }
+
+    /// Reports that no call is under way on a lost leaf, once that is so.
+    pub(crate) fn check_drained(&mut self, out: &mut Vec<Output>) {
+        let epoch = self.cell.roster().epoch;
+        if self.cell.heartbeat().drained < epoch && !self.has_lost_calls() {
+            self.cell.set_drained();
+            self.announce(out);
+        }
+    }
+
+    /// Reports that a planned stop is done: out of the roster, its leases ended, nothing under way.
+    pub(crate) fn check_stopped(&mut self, out: &mut Vec<Output>) {
+        if !self.control.stopping || self.control.stopped {
+            return;
+        }
+        let roster = self.cell.roster();
+        let me = self.settings.me.node;
+        let is_out = !roster.contains(me) && roster.previous.is_none();
+        if (is_out || roster.members.is_empty()) && self.is_idle() {
+            self.control.stopped = true;
+            out.push(Output::Stopped);
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.entry.is_idle() && self.holder.is_idle()
+    }
+
+    fn parse<T>(&mut self, key: &str, object: Option<&Object>) -> Option<T>
+    where
+        T: DeserializeOwned,
+    {
+        match serde_json::from_slice(&object?.value) {
+            Ok(value) => {
+                self.control.faults.remove(key);
+                Some(value)
+            }
+            Err(error) => {
+                self.control
+                    .faults
+                    .insert(key.to_owned(), error.to_string());
+                None
+            }
+        }
+    }
+
+    /// Takes in a tree. Returns whether it is news; an older or equal one is ignored.
+    fn learn_tree(&mut self, tree: Tree, now: Time) -> bool {
+        let known = self.config.tree.as_ref().map(|t| t.version);
+        if known.is_some_and(|known| tree.version <= known) {
+            return false;
+        }
+        self.config.tree = Some(Rc::new(tree));
+        self.rebuild_plans();
+        self.update_gate_settings();
+        self.timers.set(Timer::Control, now);
+        true
+    }
+
+    fn learn_map(&mut self, stored: StoredMap, now: Time) -> bool {
+        let StoredMap { revision, map } = stored;
+        let known = self.config.maps.get(&map.service).map(|m| m.revision);
+        if known.is_some_and(|known| revision <= known) {
+            return false;
+        }
+        let service: Rc<str> = map.service.as_str().into();
+        for info in self
+            .config
+            .leafs
+            .values_mut()
+            .filter(|i| i.service == service)
+        {
+            info.retired = info.retired.or(Some(now));
+        }
+        for (group, leaf) in map.leafs() {
+            let info = LeafInfo {
+                service: service.clone(),
+                group,
+                addr: leaf.addr,
+                domain: leaf.domain.clone(),
+                retired: None,
+            };
+            self.config.leafs.insert(leaf.leaf, info);
+        }
+        let state = MapState {
+            revision,
+            map: Rc::new(map),
+            plan: Rc::default(),
+        };
+        self.config.maps.insert(service.to_string(), state);
+        self.rebuild_plans();
+        self.timers.set(Timer::Control, now);
+        true
+    }
+
+    fn learn_roster(&mut self, roster: Roster, now: Time, out: &mut Vec<Output>) -> bool {
+        let epoch = self.cell.roster().epoch;
+        if !self.cell.learn(roster, now) {
+            return false;
+        }
+        let moved = self.cell.roster().epoch > epoch;
+        self.recompute_seats();
+        if moved {
+            self.retire_gates(out);
+            self.move_keys(now, out);
+            self.update_peers(now, out);
+            self.send_beats(now, out);
+        }
+        self.pump_waiting(now, out);
+        self.announce(out);
+        self.timers.set(Timer::Control, now);
+        true
+    }
+
+    fn recompute_seats(&mut self) {
+        let roster = self.cell.roster();
+        let nodes = roster.nodes();
+        let key_seats: Vec<LeafSeat> = (0..KEY_PLACES).map(key_seat).collect();
+        let mut seats = Seats {
+            leafs: place(&nodes, &roster.seats),
+            keys: place(&nodes, &key_seats),
+            ..Seats::default()
+        };
+        if let Some(previous) = &roster.previous {
+            seats.leafs_before = place(&previous.nodes, &previous.seats);
+            seats.keys_before = place(&previous.nodes, &key_seats);
+        }
+        self.seats = seats;
+    }
+
+    /// Rebuilds the plans: leafs that are out or leaving are not called, but their groups count.
+    fn rebuild_plans(&mut self) {
+        let tree = self.config.tree.clone();
+        let is_out = |leaf: LeafId, domain: &str| {
+            let tree = tree.as_ref();
+            tree.is_some_and(|t| t.domains_out.contains(domain) || t.leaving.contains(&leaf))
+        };
+        for state in self.config.maps.values_mut() {
+            let groups = state.map.groups.iter().enumerate();
+            let groups = groups.map(|(group, leafs)| {
+                let callable = leafs.iter().filter(|l| !is_out(l.leaf, &l.domain));
+                PlanGroup {
+                    group: group as u32,
+                    leafs: callable.map(|l| l.leaf).collect(),
+                }
+            });
+            let plan = Plan {
+                snapshot: state.map.snapshot,
+                groups: groups.collect(),
+            };
+            state.plan = Rc::new(plan);
+        }
+    }
+
+    /// Returns whether an operator has taken the leaf out.
+    pub(crate) fn is_out(&self, leaf: LeafId) -> bool {
+        let Some(tree) = &self.config.tree else {
+            return false;
+        };
+        let domain = self.config.leafs.get(&leaf).map(|i| i.domain.as_str());
+        tree.leaving.contains(&leaf) || domain.is_some_and(|d| tree.domains_out.contains(d))
+    }
+
+    fn purge_retired(&mut self, now: Time) {
+        let old = |info: &LeafInfo| info.retired.is_some_and(|at| now > at + RETIRE_AFTER * 2);
+        self.config.leafs.retain(|_, info| !old(info));
+        let known = &self.config.leafs;
+        self.entry.replicas.retain(|leaf| known.contains_key(&leaf));
+    }
+
+    /// Returns the seats that the roster should have, in order.
+    fn wanted_seats(&self, now: Time) -> Vec<LeafSeat> {
+        let kept = |info: &LeafInfo| info.retired.is_none_or(|at| now < at + RETIRE_AFTER);
+        let leafs = self.config.leafs.iter().filter(|(_, info)| kept(info));
+        let mut seats: Vec<LeafSeat> = leafs
+            .map(|(leaf, info)| seat(*leaf, &info.service, info.group))
+            .collect();
+        seats.sort_unstable();
+        seats
+    }
+
+    fn update_peers(&mut self, now: Time, out: &mut Vec<Output>) {
+        let me = &self.settings.me;
+        let roster = self.cell.roster();
+        let members = roster
+            .members
+            .iter()
+            .filter(|m| m.node != me.node)
+            .map(|m| m.peer);
+        let mut wanted: BTreeSet<SocketAddr> = members.collect();
+        if !roster.contains(me.node) {
+            wanted.extend(self.settings.seeds.iter().filter(|a| **a != me.peer));
+        }
+        // A node that has left the roster still ends the calls it has, and is asked whether it has
+        // drained.
+        let silence = self.cell.settings().silence;
+        let lives = |peer: &Peer| peer.up && peer.heard.is_some_and(|at| now < at + silence);
+        wanted.extend(
+            self.peers
+                .iter()
+                .filter(|(_, peer)| lives(peer))
+                .map(|(addr, _)| *addr),
+        );
+
+        if wanted.len() == self.peers.len() && wanted.iter().all(|a| self.peers.contains_key(a)) {
+            return;
+        }
+        let gone: Vec<SocketAddr> = self
+            .peers
+            .keys()
+            .filter(|addr| !wanted.contains(addr))
+            .copied()
+            .collect();
+        for addr in gone {
+            self.peers.remove(&addr);
+            self.lose_peer_calls(addr, now, out);
+            self.lose_peer_orders(addr, now, out);
+        }
+        for addr in &wanted {
+            self.peers.entry(*addr).or_default();
+        }
+        out.push(Output::Peers(wanted.into_iter().collect()));
+    }
+
+    /// Returns this node's position among the living members, or `None` if it is no member.
+    fn rank(&self, now: Time) -> Option<usize> {
+        let me = self.settings.me.node;
+        let roster = self.cell.roster();
+        let alive = roster
+            .members
+            .iter()
+            .filter(|m| self.cell.is_alive(m.node, now));
+        alive.map(|m| m.node).position(|node| node == me)
+    }
+
+    fn update_watches(&mut self, now: Time, out: &mut Vec<Output>) {
+        let mut wanted = BTreeSet::new();
+        if self.rank(now).is_none_or(|rank| rank < WATCHERS) {
+            wanted.insert(TREE_KEY.to_owned());
+            wanted.insert(roster_key(&self.settings.cell));
+            if let Some(tree) = &self.config.tree {
+                wanted.extend(tree.cell_services(&self.settings.cell).map(map_key));
+            }
+        }
+        if wanted != self.control.watched {
+            self.control.watched.clone_from(&wanted);
+            out.push(Output::Watch(wanted.into_iter().collect()));
+        }
+    }
+
+    /// Reads the roster where too few peers are heard to confirm the leases of a small cell.
+    fn confirm_by_store(&mut self, now: Time, out: &mut Vec<Output>) {
+        let roster = self.cell.roster();
+        let small = roster.members.len() <= STORE_CONFIRM_LIMIT;
+        let due = self
+            .control
+            .last_read
+            .is_none_or(|at| now >= at + self.cell.settings().heartbeat);
+        if small && due && roster.contains(self.settings.me.node) && !self.cell.is_confirmed(now) {
+            self.control.last_read = Some(now);
+            self.read(roster_key(&self.settings.cell), out);
+        }
+    }
+
+    fn propose_roster(&mut self, now: Time, out: &mut Vec<Output>) {
+        let rank = self.rank(now);
+        if rank.is_some_and(|rank| rank >= WATCHERS) || self.is_write_pending(now) {
+            return;
+        }
+        let roster = self.cell.roster();
+        let current = (roster.epoch, roster.previous.is_none());
+        let Some((version, epoch, settled)) = self.control.stored else {
+            return;
+        };
+        if (epoch, settled) != current {
+            return;
+        }
+        let me = &self.settings.me;
+        let joins = !roster.contains(me.node) && self.cell.may_join(now);
+        let joining = if joins { std::slice::from_ref(me) } else { &[] };
+        // A node that is no member, and may not become one, leaves the roster alone.
+        if rank.is_none() && !joins {
+            return;
+        }
+        let seats = self.wanted_seats(now);
+        let Some(next) = self.cell.proposal(joining, &seats, now) else {
+            self.control.wanted_since = None;
+            return;
+        };
+        // Others wait for the first watcher's write before they try themselves.
+        let since = *self.control.wanted_since.get_or_insert(now);
+        if rank != Some(0) && version.is_some() && now < since + TURN_WAIT {
+            return;
+        }
+        let Ok(value) = serde_json::to_vec(&next) else {
+            return;
+        };
+        self.control.wanted_since = None;
+        self.control.writing = Some(now);
+        self.counts.store_calls += 1;
+        let key = roster_key(&self.settings.cell);
+        out.push(Output::Write {
+            key,
+            expects: version,
+            value: Bytes::from(value),
+        });
+    }
+
+    fn is_write_pending(&self, now: Time) -> bool {
+        let limit = self.cell.settings().silence * 2;
+        self.control.writing.is_some_and(|at| now < at + limit)
+    }
+
+    fn read(&mut self, key: String, out: &mut Vec<Output>) {
+        self.counts.store_calls += 1;
+        out.push(Output::Read(key));
+    }
+
+    fn state(&self) -> State {
+        let maps = self.config.maps.values();
+        State {
+            tree: self.config.tree.as_deref().cloned(),
+            roster: Some(self.cell.roster().clone()),
+            maps: maps
+                .map(|m| StoredMap {
+                    revision: m.revision,
+                    map: (*m.map).clone(),
+                })
+                .collect(),
+        }
+    }
+
+    fn push_news(&mut self, news: State, out: &mut Vec<Output>) {
+        if news == State::default() {
+            return;
+        }
+        for addr in self.peers_up() {
+            self.counts.control_messages += 1;
+            out.push(Output::ToPeer(addr, Message::State(Box::new(news.clone()))));
+        }
+    }
+
+    pub(crate) fn peers_up(&self) -> Vec<SocketAddr> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.up)
+            .map(|(addr, _)| *addr)
+            .collect()
+    }
+
+    fn send_beats(&mut self, now: Time, out: &mut Vec<Output>) {
+        for addr in self.peers_up() {
+            self.send_beat(addr, now, out);
+        }
+    }
+
+    fn send_beat(&mut self, addr: SocketAddr, now: Time, out: &mut Vec<Output>) {
+        self.counts.control_messages += 1;
+        let beat = Message::Beat {
+            sent: now.as_micros(),
+            versions: self.versions(),
+        };
+        out.push(Output::ToPeer(addr, beat));
+    }
+
+    /// Answers the last heartbeat of every peer again, since what this node says has changed.
+    fn announce(&mut self, out: &mut Vec<Output>) {
+        let links: Vec<(LinkId, u64)> = self.links.iter().map(|(l, s)| (*l, s.beat)).collect();
+        for (link, beat) in links {
+            self.reply_beat(link, beat, out);
+        }
+    }
+
+    fn reply_beat(&mut self, link: LinkId, asked: u64, out: &mut Vec<Output>) {
+        self.counts.control_messages += 1;
+        let reply = Message::BeatReply {
+            node: self.settings.me.node,
+            asked,
+            said: self.cell.heartbeat(),
+            versions: self.versions(),
+        };
+        out.push(Output::ToLink(link, reply));
+    }
+
+    /// Returns the address of a member.
+    pub(crate) fn addr_of(&self, node: NodeId) -> Option<SocketAddr> {
+        self.cell.roster().member(node).map(|m| m.peer)
+    }
+
+    /// Returns the address of a member that is connected and has been heard of late.
+    pub(crate) fn reachable(&self, node: NodeId, now: Time) -> Option<SocketAddr> {
+        let addr = self.addr_of(node)?;
+        let up = self.peers.get(&addr).is_some_and(|peer| peer.up);
+        (up && self.cell.is_alive(node, now)).then_some(addr)
+    }
+}
+
+/// Returns the seat of a place of idempotency keys.
+pub(crate) fn key_seat(place: u32) -> LeafSeat {
+    LeafSeat {
+        leaf: LeafId(u64::from(place)),
+        group: u64::from(place),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/dump.rs
@@ -0,0 +1,98 @@
+//! Dump of an engine's state, for operators.
+
+use serde::Serialize;
+
+use monsoondeal_core::Time;
+use monsoondeal_member::Roster;
+
+use crate::counts::Counts;
+use crate::engine::Engine;
+use crate::message::Versions;
+
+/// State of a node at one time.
+#[derive(Debug, Serialize)]
+struct Dump<'a> {
+    node: u64,
+    cell: &'a str,
+    domain: &'a str,
+    ready: bool,
+    confirmed: bool,
+    stopping: bool,
+    versions: Versions,
+    roster: &'a Roster,
+    peers: Vec<PeerDump>,
+    leafs: Vec<LeafDump>,
+    queries: usize,
+    orders: usize,
+    keys: usize,
+    faults: &'a std::collections::BTreeMap<String, String>,
+    counts: Counts,
+}
+
+#[derive(Debug, Serialize)]
+struct PeerDump {
+    addr: std::net::SocketAddr,
+    up: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct LeafDump {
+    leaf: u64,
+    held: bool,
+    cold: bool,
+    running: u32,
+    waiting: usize,
+}
+
+impl Engine {
+    /// Returns the state as JSON.
+    pub fn dump(&self, now: Time) -> serde_json::Value {
+        let mut peers: Vec<PeerDump> = self
+            .peers
+            .iter()
+            .map(|(addr, peer)| PeerDump {
+                addr: *addr,
+                up: peer.up,
+            })
+            .collect();
+        peers.sort_by_key(|p| p.addr);
+        let dump = Dump {
+            node: self.settings.me.node.0,
+            cell: &self.settings.cell,
+            domain: &self.settings.me.domain,
+            ready: self.is_ready(),
+            confirmed: self.cell.is_confirmed(now),
+            stopping: self.control.stopping,
+            versions: self.versions(),
+            roster: self.cell.roster(),
+            peers,
+            leafs: self.leaf_dumps(now),
+            queries: self.entry.query_count(),
+            orders: self.entry.order_count(),
+            keys: self.home.key_count(),
+            faults: &self.control.faults,
+            counts: self.counts,
+        };
+        serde_json::to_value(&dump).unwrap_or_default()
+    }
+
+    /// Returns the version of the tree in force, for reports on changes.
+    pub fn tree_version(&self) -> u64 {
+        self.versions().tree.0
+    }
+
+    fn leaf_dumps(&self, now: Time) -> Vec<LeafDump> {
+        let gates = self.holder.gates();
+        let mut leafs: Vec<LeafDump> = gates
+            .map(|(leaf, gate)| LeafDump {
+                leaf: leaf.0,
+                held: self.holds(leaf, now),
+                cold: gate.is_cold(),
+                running: gate.running(),
+                waiting: gate.waiting(),
+            })
+            .collect();
+        leafs.sort_by_key(|l| l.leaf);
+        leafs
+    }
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,29 @@
+//! A node of the query tier as one state machine.
+//!
+//! [`Engine::handle`] takes an [`Input`] and the present time and appends [`Output`]s. It does no
+//! I/O and reads no clock, so that the daemon, the tests and the benchmarks drive the same code.
+//!
+//! The parts of the engine, each in a module of its own:
+//!
+//! - `control`: membership, the configuration feed and what is written to the store;
+//! - `entry`: requests of callers and the queries made from them;
+//! - `holder`: calls to leafs whose lease this node holds;
+//! - `home`: requests that may run at most once, by idempotency key.
+
+mod control;
+mod counts;
+mod dump;
+mod engine;
+mod entry;
+mod holder;
+mod home;
+pub mod io;
+pub mod message;
+mod timers;
+
+pub use control::{TREE_KEY, map_key, roster_key};
+pub use counts::Counts;
+pub use engine::{Engine, EngineSettings};
+pub use entry::BODY_LIMIT;
+pub use io::{Input, Output};
+pub use message::Message;
--- /dev/null
+++ b/crates/engine/src/timers.rs
@@ -0,0 +1,58 @@
+//! Timers of the engine.
+
+use std::collections::{BTreeSet, HashMap};
+use std::hash::Hash;
+
+use monsoondeal_core::Time;
+
+/// `Timers` hold at most one due time for each key.
+#[derive(Debug)]
+pub(crate) struct Timers<K> {
+    due: BTreeSet<(Time, K)>,
+    /// Invariant: the same pairs as in `due`.
+    keys: HashMap<K, Time>,
+}
+
+impl<K> Default for Timers<K> {
+    fn default() -> Self {
+        Self {
+            due: BTreeSet::new(),
+            keys: HashMap::new(),
+        }
+    }
+}
+
+impl<K> Timers<K>
+where
+    K: Copy + Ord + Hash,
+{
+    /// Sets or replaces the due time of a key.
+    pub(crate) fn set(&mut self, key: K, at: Time) {
+        if let Some(old) = self.keys.insert(key, at) {
+            self.due.remove(&(old, key));
+        }
+        self.due.insert((at, key));
+    }
+
+    /// Removes a key.
+    pub(crate) fn clear(&mut self, key: K) {
+        if let Some(old) = self.keys.remove(&key) {
+            self.due.remove(&(old, key));
+        }
+    }
+
+    /// Takes out a key that is due.
+    pub(crate) fn pop(&mut self, now: Time) -> Option<K> {
+        let &(at, key) = self.due.first()?;
+        if at > now {
+            return None;
+        }
+        self.clear(key);
+        Some(key)
+    }
+
+    /// Returns the earliest due time.
+    pub(crate) fn next(&self) -> Option<Time> {
+        self.due.first().map(|(at, _)| *at)
+    }
+}
--- /dev/null
+++ b/crates/limit/src/budget.rs
@@ -0,0 +1,50 @@
+//! Budgets for extra calls.
+
+/// `Budget` allows extra calls in proportion to regular ones, with a bounded reserve.
+///
+/// Over any run of calls the extra ones stay at or below `ratio` times the regular ones plus the
+/// reserve.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    /// Tokens earned by one regular call.
+    ratio: f64,
+    /// Most tokens that can be saved up.
+    reserve: f64,
+    /// Invariant: `0 <= tokens <= reserve`.
+    tokens: f64,
+}
+
+impl Budget {
+    /// Creates a budget with a full reserve.
+    pub fn new(ratio: f64, reserve: f64) -> Self {
+        Self {
+            ratio,
+            reserve,
+            tokens: reserve,
+        }
+    }
+
+    /// Replaces the ratio; what is saved up stays.
+    pub fn set_ratio(&mut self, ratio: f64) {
+        self.ratio = ratio;
+    }
+
+    /// Counts regular calls.
+    pub fn earn(&mut self, calls: usize) {
+        self.tokens = (self.tokens + self.ratio * calls as f64).min(self.reserve);
+    }
+
+    /// Attempts to take the token for one extra call.
+    pub fn try_spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Returns the token of an extra call that did not run.
+    pub fn refund(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.reserve);
+    }
+}
--- /dev/null
+++ b/crates/member/src/cell.rs
@@ -0,0 +1,338 @@
+//! Leaf leases of one node, fenced by the epochs of its cell's roster.
+//!
+//! At most one node acts on a leaf at a time, without a lease record for each leaf:
+//!
+//! - The roster determines the placement, so a roster in the store names the holder of every leaf.
+//! - A holder acts only while a majority of its roster has confirmed, within the last
+//!   [`CellSettings::hold`], that it knows no later epoch; a read of the store that returns the
+//!   present epoch confirms as well. The span counts from when the holder *asked*, on its own clock,
+//!   so a frozen holder finds its lease lapsed when it wakes.
+//! - A successor acts once the old holder has reported that it has no call under way, or once so
+//!   many members of the *previous* roster have reported the new epoch that the others are no
+//!   majority, and the hold and the longest call have passed since. By then the old holder cannot
+//!   have been confirmed any more, and its last call has ended.
+//! - At most two epochs are in use: the next roster is written only when the one before is settled.
+//!
+//! Nothing is voted on or stored by the members. While the store is down rosters stand still and
+//! holders go on, as long as they hear a majority of their cell.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use monsoondeal_core::{Epoch, LeafSeat, NodeId, Time};
+use serde::{Deserialize, Serialize};
+
+use crate::roster::{Member, Roster, blocking, majority};
+
+/// Allowance for clocks that run at different rates.
+const DRIFT: f64 = 1.05;
+
+/// `CellSettings` are the spans of membership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CellSettings {
+    /// How long a confirmation entitles a holder to act.
+    pub hold: Duration,
+    /// Longest time that a call stays under way at a leaf.
+    pub longest_call: Duration,
+    /// A peer not heard for this long is taken for dead.
+    pub silence: Duration,
+    /// Time between two heartbeats to a peer.
+    pub heartbeat: Duration,
+}
+
+impl Default for CellSettings {
+    fn default() -> Self {
+        Self {
+            hold: Duration::from_millis(2_000),
+            longest_call: Duration::from_millis(1_000),
+            silence: Duration::from_millis(2_000),
+            heartbeat: Duration::from_millis(500),
+        }
+    }
+}
+
+/// `Heartbeat` is what a node tells of itself when asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Latest epoch that the node knows. Never falls.
+    pub known: Epoch,
+    /// Latest epoch for which the node has no call under way on a leaf that it lost.
+    pub drained: Epoch,
+    /// Whether the node is stopping and wants to leave the roster.
+    pub leaving: bool,
+}
+
+/// `Lease` tells whether a node may act on a leaf that the placement gives it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lease {
+    /// It may.
+    Held,
+    /// The holder of the previous epoch may still be acting.
+    Waiting,
+    /// No majority has confirmed the node's epoch of late.
+    Lapsed,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Peer {
+    /// When the newest confirmation was asked for. It came from a peer that knew no epoch later than
+    /// the present one, and so it holds for the present one too.
+    confirmed: Option<Time>,
+    /// When the peer was last heard.
+    heard: Option<Time>,
+    said: Heartbeat,
+}
+
+/// `Cell` is one node's view of its cell.
+#[derive(Debug)]
+pub struct Cell {
+    settings: CellSettings,
+    me: Member,
+    roster: Roster,
+    /// Since when the present roster is known.
+    since: Time,
+    peers: HashMap<NodeId, Peer>,
+    /// When the newest read of the store that returned the present epoch was asked for.
+    stored: Option<Time>,
+    /// When no majority of the previous roster was left that might not know the present epoch.
+    fenced_at: Option<Time>,
+    drained: Epoch,
+    leaving: bool,
+}
+
+impl Cell {
+    /// Creates the view of a node that knows no roster yet.
+    pub fn new(settings: CellSettings, me: Member) -> Self {
+        Self {
+            settings,
+            me,
+            roster: Roster::default(),
+            since: Time::default(),
+            peers: HashMap::new(),
+            stored: None,
+            fenced_at: None,
+            drained: Epoch::default(),
+            leaving: false,
+        }
+    }
+
+    /// Returns the present roster.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Returns this node.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Returns the spans.
+    pub fn settings(&self) -> &CellSettings {
+        &self.settings
+    }
+
+    /// Returns what this node tells its peers.
+    pub fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            known: self.roster.epoch,
+            drained: self.drained,
+            leaving: self.leaving,
+        }
+    }
+
+    /// Marks the node as leaving.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Takes in a roster from the store or a peer. Returns whether it is news; an older or equal one
+    /// is ignored.
+    pub fn learn(&mut self, roster: Roster, now: Time) -> bool {
+        let settles = roster.epoch == self.roster.epoch
+            && roster.previous.is_none()
+            && self.roster.previous.is_some();
+        if roster.epoch <= self.roster.epoch && !settles {
+            return false;
+        }
+        if !settles {
+            self.since = now;
+            self.fenced_at = None;
+            self.stored = None;
+        }
+        self.roster = roster;
+        self.note_fence(now);
+        true
+    }
+
+    /// Notes that no call is under way on a leaf that this node lost up to the present epoch.
+    pub fn set_drained(&mut self) {
+        self.drained = self.roster.epoch;
+    }
+
+    /// Takes in a peer's heartbeat. `asked` is when this node sent the newest message that the peer
+    /// had received by then, if any.
+    pub fn on_heartbeat(&mut self, from: NodeId, asked: Option<Time>, said: Heartbeat, now: Time) {
+        let epoch = self.roster.epoch;
+        let peer = self.peers.entry(from).or_default();
+        peer.heard = Some(now);
+        if said.known >= peer.said.known {
+            peer.said = said;
+        }
+        // A peer that knows a later epoch no longer vouches for this one.
+        if said.known <= epoch {
+            peer.confirmed = peer.confirmed.max(asked);
+        }
+        self.note_fence(now);
+    }
+
+    /// Takes in a read of the store, sent at `asked`, that returned `epoch`.
+    pub fn on_store_read(&mut self, asked: Time, epoch: Epoch) {
+        if epoch == self.roster.epoch {
+            self.stored = self.stored.max(Some(asked));
+        }
+    }
+
+    /// Returns whether a leaf may be acted on whose holder in the previous epoch is `before`.
+    pub fn lease(&self, before: Option<NodeId>, now: Time) -> Lease {
+        if !self.is_confirmed(now) {
+            return Lease::Lapsed;
+        }
+        let Some(before) = before else {
+            return Lease::Held;
+        };
+        if self.roster.previous.is_none() || before == self.me.node {
+            return Lease::Held;
+        }
+        if self.said(before).drained >= self.roster.epoch || self.is_fenced(now) {
+            return Lease::Held;
+        }
+        Lease::Waiting
+    }
+
+    /// Returns whether the store or a majority of the roster vouches for the present epoch.
+    pub fn is_confirmed(&self, now: Time) -> bool {
+        if !self.roster.contains(self.me.node) {
+            return false;
+        }
+        let fresh = |asked: Option<Time>| asked.is_some_and(|at| now < at + self.settings.hold);
+        if fresh(self.stored) {
+            return true;
+        }
+        let vouches = |node: NodeId| {
+            node == self.me.node || fresh(self.peers.get(&node).and_then(|p| p.confirmed))
+        };
+        let count = self
+            .roster
+            .members
+            .iter()
+            .filter(|m| vouches(m.node))
+            .count();
+        count >= majority(self.roster.members.len())
+    }
+
+    /// Returns whether the peer has been silent for too long.
+    pub fn is_silent(&self, node: NodeId, now: Time) -> bool {
+        let heard = self
+            .peers
+            .get(&node)
+            .and_then(|p| p.heard)
+            .unwrap_or(self.since);
+        now >= heard.max(self.since) + self.settings.silence
+    }
+
+    /// Returns whether the peer is taken for alive: heard within the span of silence.
+    pub fn is_alive(&self, node: NodeId, now: Time) -> bool {
+        let heard = self.peers.get(&node).and_then(|p| p.heard);
+        node == self.me.node || heard.is_some_and(|at| now < at + self.settings.silence)
+    }
+
+    /// Returns the roster that this node would write to the store now, if any, given the nodes that
+    /// ask to join and the seats that are wanted, in order. The write must be conditional on the
+    /// store still holding the present roster.
+    pub fn proposal(&self, joining: &[Member], seats: &[LeafSeat], now: Time) -> Option<Roster> {
+        if self.roster.previous.is_some() {
+            return self.is_settled(now).then(|| self.roster.settled());
+        }
+        let members = self.wanted(joining, now);
+        let same = members.len() == self.roster.members.len()
+            && members.iter().all(|m| self.roster.contains(m.node))
+            && seats == self.roster.seats;
+        (!same && !members.is_empty()).then(|| self.roster.next(members, seats.to_vec()))
+    }
+
+    /// Returns whether the node hears enough of the roster to be of use as a member.
+    pub fn may_join(&self, now: Time) -> bool {
+        let alive = self
+            .roster
+            .members
+            .iter()
+            .filter(|m| self.is_alive(m.node, now))
+            .count();
+        !self.leaving
+            && (self.roster.members.is_empty() || alive >= blocking(self.roster.members.len()))
+    }
+
+    /// Forgets peers that are in no roster.
+    pub fn forget_strangers(&mut self) {
+        let Self { roster, peers, .. } = self;
+        let previous = roster.previous.as_ref().map_or(&[][..], |p| &p.nodes);
+        peers.retain(|node, _| roster.contains(*node) || previous.contains(node));
+    }
+
+    fn wanted(&self, joining: &[Member], now: Time) -> Vec<Member> {
+        let stays = |m: &&Member| {
+            if m.node == self.me.node {
+                return !self.leaving;
+            }
+            !self.is_silent(m.node, now) && !self.said(m.node).leaving
+        };
+        let mut members: Vec<Member> = self.roster.members.iter().filter(stays).cloned().collect();
+        // A node that is cut off from most of the others must not remove them.
+        if members.len() < blocking(self.roster.members.len()) {
+            members.clone_from(&self.roster.members);
+        }
+        let new = joining.iter().filter(|m| !self.roster.contains(m.node));
+        members.extend(new.cloned());
+        members
+    }
+
+    fn said(&self, node: NodeId) -> Heartbeat {
+        if node == self.me.node {
+            return self.heartbeat();
+        }
+        self.peers.get(&node).map(|p| p.said).unwrap_or_default()
+    }
+
+    /// Records when enough of the previous roster was first seen to know the present epoch.
+    fn note_fence(&mut self, now: Time) {
+        let Some(previous) = &self.roster.previous else {
+            return;
+        };
+        let epoch = self.roster.epoch;
+        let know = previous
+            .nodes
+            .iter()
+            .filter(|&&node| self.said(node).known >= epoch)
+            .count();
+        if self.fenced_at.is_none() && know >= blocking(previous.nodes.len()) {
+            self.fenced_at = Some(now);
+        }
+    }
+
+    fn is_fenced(&self, now: Time) -> bool {
+        let span = (self.settings.hold + self.settings.longest_call).mul_f64(DRIFT);
+        self.fenced_at.is_some_and(|at| now >= at + span)
+    }
+
+    fn is_settled(&self, now: Time) -> bool {
+        let Some(previous) = &self.roster.previous else {
+            return true;
+        };
+        let epoch = self.roster.epoch;
+        self.is_fenced(now)
+            || previous
+                .nodes
+                .iter()
+                .all(|&node| self.said(node).drained >= epoch)
+    }
+}
--- /dev/null
+++ b/crates/member/src/roster.rs
@@ -0,0 +1,102 @@
+//! The roster of a cell, as kept in the platform's store.
+
+use std::net::SocketAddr;
+
+use monsoondeal_core::{Epoch, LeafSeat, NodeId};
+use serde::{Deserialize, Serialize};
+
+/// `Member` is a node of a cell.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Identity of the process.
+    pub node: NodeId,
+    /// Address that peers connect to.
+    pub peer: SocketAddr,
+    /// Address of the operators' interface.
+    pub admin: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+}
+
+/// `Previous` is what the placement of the epoch before was computed from.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Previous {
+    /// Its members.
+    pub nodes: Vec<NodeId>,
+    /// Its seats.
+    pub seats: Vec<LeafSeat>,
+}
+
+/// `Roster` lists the members of a cell and the leafs that they hold in one epoch. The placement
+/// follows from it alone, so that all nodes that know an epoch agree on every holder.
+///
+/// Invariants: members are in order of identity and seats in order, each once. `previous` is present
+/// for as long as one of its nodes may still act on its leases; while it is, no further epoch is
+/// written, so at most two epochs are ever in use.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// Number of this roster.
+    pub epoch: Epoch,
+    /// Nodes that hold leases in this epoch.
+    pub members: Vec<Member>,
+    /// Leafs that need a holder.
+    pub seats: Vec<LeafSeat>,
+    /// The epoch before, until its leases have ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub previous: Option<Previous>,
+}
+
+impl Roster {
+    /// Returns whether the node is a member.
+    pub fn contains(&self, node: NodeId) -> bool {
+        self.member(node).is_some()
+    }
+
+    /// Returns a member.
+    pub fn member(&self, node: NodeId) -> Option<&Member> {
+        let at = self.members.binary_search_by_key(&node, |m| m.node).ok()?;
+        self.members.get(at)
+    }
+
+    /// Returns the identities of the members.
+    pub fn nodes(&self) -> Vec<NodeId> {
+        self.members.iter().map(|m| m.node).collect()
+    }
+
+    /// Returns the roster that follows with other members or seats.
+    pub fn next(&self, mut members: Vec<Member>, mut seats: Vec<LeafSeat>) -> Self {
+        members.sort_by_key(|m| m.node);
+        members.dedup_by_key(|m| m.node);
+        seats.sort_unstable();
+        seats.dedup();
+        let previous = Previous {
+            nodes: self.nodes(),
+            seats: self.seats.clone(),
+        };
+        let previous = (!self.members.is_empty()).then_some(previous);
+        Self {
+            epoch: Epoch(self.epoch.0 + 1),
+            members,
+            seats,
+            previous,
+        }
+    }
+
+    /// Returns the same roster with the previous epoch ended.
+    pub fn settled(&self) -> Self {
+        Self {
+            previous: None,
+            ..self.clone()
+        }
+    }
+}
+
+/// Returns the least number of members that any two majorities of `count` share a member in.
+pub const fn majority(count: usize) -> usize {
+    count / 2 + 1
+}
+
+/// Returns the least number of members of which every majority of `count` includes one.
+pub const fn blocking(count: usize) -> usize {
+    count + 1 - majority(count)
+}
--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,50 @@
+//! The operators' interface: `/ready`, `/metrics` and `/state`.
+
+use compio::net::TcpListener;
+use futures_channel::oneshot;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+
+use crate::event::{Event, EventSender, send};
+use crate::http::{self, Body};
+
+/// Type of the metrics in text form.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// Serves operators until the process ends.
+pub(crate) async fn listen(listener: TcpListener, events: EventSender) {
+    http::listen(listener, move |request| handle(request, events.clone())).await;
+}
+
+async fn handle(request: Request<Incoming>, events: EventSender) -> Response<Body> {
+    match request.uri().path() {
+        "/ready" => match ask(&events, Event::Ready).await {
+            Some(true) => http::respond(StatusCode::OK, "text/plain", b"ready\n".to_vec()),
+            _ => {
+                let body = b"not ready\n".to_vec();
+                http::respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", body)
+            }
+        },
+        "/metrics" => {
+            let text = ask(&events, Event::Metrics).await.unwrap_or_default();
+            http::respond(StatusCode::OK, METRICS_TYPE, text.into_bytes())
+        }
+        "/state" => {
+            let state = ask(&events, Event::Dump).await.unwrap_or_default();
+            http::json(StatusCode::OK, &state)
+        }
+        path => {
+            let text = format!("no page '{path}'; there are /ready, /metrics and /state\n");
+            http::respond(StatusCode::NOT_FOUND, "text/plain", text.into_bytes())
+        }
+    }
+}
+
+async fn ask<T, F>(events: &EventSender, question: F) -> Option<T>
+where
+    F: FnOnce(oneshot::Sender<T>) -> Event,
+{
+    let (sender, receiver) = oneshot::channel();
+    send(events, question(sender));
+    receiver.await.ok()
+}
--- /dev/null
+++ b/crates/node/src/callers.rs
@@ -0,0 +1,313 @@
+//! Requests of callers over HTTP: `POST /v1/{service}/{kind}`.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use futures_channel::oneshot;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Method, Request as HttpRequest, Response as HttpResponse, StatusCode};
+use monsoondeal_core::{Coverage, Findings, Snapshot};
+use monsoondeal_engine::BODY_LIMIT;
+use monsoondeal_engine::io::{Fault, Request, Response, Token};
+use monsoondeal_route::Answer;
+use monsoondeal_route::query::Loss;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use crate::event::{Event, EventSender, send};
+use crate::http::{self, Body, header};
+
+/// Prefix of the request path.
+const PATH_PREFIX: &str = "/v1/";
+
+/// State that the caller side shares with the hub.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CallerState {
+    /// Set while the node stops: responses then close their connection.
+    pub(crate) closing: Rc<Cell<bool>>,
+    /// Requests whose response is not yet handed to the connection.
+    pub(crate) open: Rc<Cell<usize>>,
+    tokens: Rc<Cell<u64>>,
+}
+
+/// Serves callers until the process ends.
+pub(crate) async fn listen(listener: TcpListener, state: CallerState, events: EventSender) {
+    http::listen(listener, move |request| {
+        handle(request, state.clone(), events.clone())
+    })
+    .await;
+}
+
+/// Tells the hub of a caller that goes away before its response.
+struct Waiting<'a> {
+    token: Token,
+    events: &'a EventSender,
+    done: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.done {
+            send(self.events, Event::Gone(self.token));
+        }
+    }
+}
+
+/// Counts a request as open for as long as it lives.
+struct Open(Rc<Cell<usize>>);
+
+impl Open {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn handle(
+    request: HttpRequest<Incoming>,
+    state: CallerState,
+    events: EventSender,
+) -> HttpResponse<Body> {
+    let _open = Open::new(&state.open);
+    let token = Token(state.tokens.get());
+    state.tokens.set(token.0 + 1);
+    let mut response = match read(request, token).await {
+        Ok(request) => render(ask(request, &events).await),
+        Err((status, findings)) => http::json(status, &Failure::malformed(&findings)),
+    };
+    if state.closing.get() {
+        let close = HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(hyper::header::CONNECTION, close);
+    }
+    response
+}
+
+async fn ask(request: Request, events: &EventSender) -> Option<Response> {
+    let mut waiting = Waiting {
+        token: request.token,
+        events,
+        done: false,
+    };
+    let (sender, receiver) = oneshot::channel();
+    send(events, Event::Request(request, sender));
+    let response = receiver.await.ok();
+    waiting.done = true;
+    response
+}
+
+async fn read(
+    request: HttpRequest<Incoming>,
+    token: Token,
+) -> Result<Request, (StatusCode, Findings)> {
+    let path = request.uri().path().to_owned();
+    let names = path
+        .strip_prefix(PATH_PREFIX)
+        .and_then(|rest| rest.split_once('/'));
+    let Some((service, kind)) = names else {
+        let text = format!("'{path}' must be {PATH_PREFIX}SERVICE/KIND");
+        return Err((
+            StatusCode::NOT_FOUND,
+            Findings::single("request path", text),
+        ));
+    };
+    if request.method() != Method::POST {
+        let text = format!("must be POST, not {}", request.method());
+        let findings = Findings::single("request method", text);
+        return Err((StatusCode::METHOD_NOT_ALLOWED, findings));
+    }
+
+    let mut findings = Findings::default();
+    let headers = request.headers();
+    let key = read_header(headers, header::IDEMPOTENCY_KEY, &mut findings);
+    let partition_key = read_header(headers, header::PARTITION_KEY, &mut findings);
+    let deadline = read_deadline(headers, &mut findings);
+    findings
+        .or_ok(())
+        .map_err(|f| (StatusCode::BAD_REQUEST, f))?;
+
+    let (service, kind) = (service.to_owned(), kind.to_owned());
+    let Ok(body) = Limited::new(request.into_body(), BODY_LIMIT)
+        .collect()
+        .await
+    else {
+        let text = format!("must arrive whole and have at most {BODY_LIMIT} bytes");
+        let findings = Findings::single("request body", text);
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, findings));
+    };
+    let body = body.to_bytes();
+    Ok(Request {
+        token,
+        service,
+        kind,
+        key,
+        partition_key,
+        deadline,
+        body,
+    })
+}
+
+fn read_header(headers: &HeaderMap, name: &str, findings: &mut Findings) -> Option<String> {
+    let value = headers.get(name)?;
+    if headers.get_all(name).iter().count() > 1 {
+        findings
+            .0
+            .extend(Findings::single(name, "stands more than once").0);
+        return None;
+    }
+    match value.to_str() {
+        Ok(text) => Some(text.to_owned()),
+        Err(_) => {
+            let text = "must consist of visible ASCII characters";
+            findings.0.extend(Findings::single(name, text).0);
+            None
+        }
+    }
+}
+
+fn read_deadline(headers: &HeaderMap, findings: &mut Findings) -> Option<Duration> {
+    let text = read_header(headers, header::DEADLINE, findings)?;
+    match text.parse() {
+        Ok(millis) if millis > 0 => Some(Duration::from_millis(millis)),
+        _ => {
+            let text = "must be a whole number of milliseconds above 0";
+            findings
+                .0
+                .extend(Findings::single(header::DEADLINE, text).0);
+            None
+        }
+    }
+}
+
+/// Body of a response with an answer.
+#[derive(Serialize)]
+struct Success<'a> {
+    outcome: &'static str,
+    snapshot: Snapshot,
+    coverage: Coverage,
+    parts: Vec<Part<'a>>,
+    lost: Vec<Lost>,
+    waited: Waited,
+}
+
+#[derive(Serialize)]
+struct Part<'a> {
+    group: u32,
+    data: &'a RawValue,
+}
+
+#[derive(Serialize)]
+struct Lost {
+    group: u32,
+    reason: String,
+}
+
+#[derive(Serialize)]
+struct Waited {
+    micros: u64,
+    slowest_group: Option<u32>,
+    slowest_micros: u64,
+    calls: u32,
+    hedges: u32,
+}
+
+/// Body of a response without an answer.
+#[derive(Serialize)]
+struct Failure<'a> {
+    outcome: &'static str,
+    reason: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    findings: Option<&'a Findings>,
+}
+
+impl<'a> Failure<'a> {
+    fn new(outcome: &'static str, reason: impl ToString) -> Self {
+        Self {
+            outcome,
+            reason: reason.to_string(),
+            findings: None,
+        }
+    }
+
+    fn malformed(findings: &'a Findings) -> Self {
+        Self {
+            outcome: "not_run",
+            reason: "bad request".to_owned(),
+            findings: Some(findings),
+        }
+    }
+}
+
+fn render(response: Option<Response>) -> HttpResponse<Body> {
+    match response {
+        Some(Response::Answered(answer)) => http::json(StatusCode::OK, &success(&answer)),
+        Some(Response::NotRun(reason)) => http::json(
+            StatusCode::SERVICE_UNAVAILABLE,
+            &Failure::new("not_run", reason),
+        ),
+        Some(Response::Unknown(doubt)) => {
+            http::json(StatusCode::GATEWAY_TIMEOUT, &Failure::new("unknown", doubt))
+        }
+        Some(Response::Fault(fault)) => {
+            let (status, findings) = match &fault {
+                Fault::NoService(findings) => (StatusCode::NOT_FOUND, findings),
+                Fault::Malformed(findings) => (StatusCode::BAD_REQUEST, findings),
+                Fault::OtherCell(findings) => (StatusCode::MISDIRECTED_REQUEST, findings),
+            };
+            http::json(status, &Failure::malformed(findings))
+        }
+        // The hub is gone, so nobody can tell what became of the request.
+        None => http::json(
+            StatusCode::GATEWAY_TIMEOUT,
+            &Failure::new("unknown", "node stopped"),
+        ),
+    }
+}
+
+fn success(answer: &Answer<bytes::Bytes>) -> Success<'_> {
+    let parts = answer.parts.iter().filter_map(|(group, body)| {
+        let data = serde_json::from_slice(body).ok()?;
+        Some(Part {
+            group: *group,
+            data,
+        })
+    });
+    let lost = answer.lost.iter().map(|(group, loss)| {
+        let reason = match loss {
+            Loss::NotRun(reason) => reason.to_string(),
+            Loss::Unknown(doubt) => doubt.to_string(),
+            Loss::NoLeaf => "no leaf may be called".to_owned(),
+            Loss::Deadline => "deadline passed".to_owned(),
+        };
+        Lost {
+            group: *group,
+            reason,
+        }
+    });
+    let (slowest_group, slowest) = answer.slowest.unzip();
+    Success {
+        outcome: "answered",
+        snapshot: answer.snapshot,
+        coverage: answer.coverage,
+        parts: parts.collect(),
+        lost: lost.collect(),
+        waited: Waited {
+            micros: answer.elapsed.as_micros() as u64,
+            slowest_group,
+            slowest_micros: slowest.unwrap_or_default().as_micros() as u64,
+            calls: answer.calls,
+            hedges: answer.hedges,
+        },
+    }
+}
--- /dev/null
+++ b/crates/node/src/error.rs
@@ -0,0 +1,27 @@
+//! Errors of the daemon.
+
+use std::io;
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// `NodeError` is why a node could not start or go on.
+    #[derive(Debug)]
+    pub enum NodeError {
+        /// A listening address could not be bound.
+        Bind(what: &'static str, addr: SocketAddr, source: io::Error) {
+            display("cannot listen for {what} on {addr}: {source}")
+            source(source)
+        }
+        /// The signal handler could not be installed.
+        Signal(source: io::Error) {
+            display("cannot wait for signals: {source}")
+            source(source)
+        }
+        /// The metrics could not be set up.
+        Metrics(text: String) {
+            display("cannot set up metrics: {text}")
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/http.rs
@@ -0,0 +1,99 @@
+//! What the HTTP interfaces share.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use serde::Serialize;
+
+/// Longest time for a peer to send the head of a request.
+const HEAD_LIMIT: Duration = Duration::from_secs(30);
+/// Most header fields of a request.
+const HEADER_FIELDS: usize = 64;
+
+/// Names of header fields.
+pub(crate) mod header {
+    /// Version of the data, on calls to leafs and on their answers.
+    pub(crate) const INDEX_VERSION: &str = "x-index-version";
+    /// Version of the partition map, on calls to leafs and on their answers.
+    pub(crate) const MAP_VERSION: &str = "x-partition-map";
+    /// Group that is asked for.
+    pub(crate) const GROUP: &str = "x-group";
+    /// Time that the caller still waits, in milliseconds.
+    pub(crate) const DEADLINE: &str = "x-deadline-ms";
+    /// Idempotency key.
+    pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+    /// Key that selects the group of a request for one group.
+    pub(crate) const PARTITION_KEY: &str = "x-partition-key";
+    /// Set on a refusal of a leaf that has not run the call.
+    pub(crate) const NOT_RUN: &str = "x-not-run";
+}
+
+/// Body of responses.
+pub(crate) type Body = Full<Bytes>;
+
+/// Accepts connections and serves each with `handler` until the process ends.
+pub(crate) async fn listen<F, R>(listener: TcpListener, handler: F)
+where
+    F: Fn(Request<Incoming>) -> R + 'static,
+    R: Future<Output = Response<Body>> + 'static,
+{
+    let handler = Rc::new(handler);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        compio::runtime::spawn(serve(stream, handler.clone())).detach();
+    }
+}
+
+async fn serve<F, R>(stream: TcpStream, handler: Rc<F>)
+where
+    F: Fn(Request<Incoming>) -> R + 'static,
+    R: Future<Output = Response<Body>> + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let response = handler(request);
+        async move { Ok::<_, Infallible>(response.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(HEAD_LIMIT)
+        .max_headers(HEADER_FIELDS)
+        .serve_connection(HyperStream::new(stream), service);
+    if let Err(error) = pin!(connection).await {
+        log::debug!("connection ended: {error}");
+    }
+}
+
+/// Returns a response with a JSON body.
+pub(crate) fn json<T>(status: StatusCode, value: &T) -> Response<Body>
+where
+    T: Serialize,
+{
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    respond(status, "application/json", body)
+}
+
+/// Returns a response with a body of the given type.
+pub(crate) fn respond(status: StatusCode, kind: &str, body: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    if let Ok(kind) = kind.parse() {
+        response
+            .headers_mut()
+            .insert(hyper::header::CONTENT_TYPE, kind);
+    }
+    response
+}
--- /dev/null
+++ b/crates/node/src/hub.rs
@@ -0,0 +1,369 @@
+//! The hub: the task that owns the engine.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use compio::runtime::{JoinHandle, spawn};
+use compio::time::{sleep, sleep_until};
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
+use monsoondeal_config::NodeSettings;
+use monsoondeal_core::{Clock, LeafId, NodeId, Time};
+use monsoondeal_engine::io::{LeafCall, LinkId, Response, Token};
+use monsoondeal_engine::{Engine, EngineSettings, Input, Output};
+use monsoondeal_limit::OnceSettings;
+use monsoondeal_member::{CellSettings, Member};
+use monsoondeal_route::ReplicaSettings;
+use rand::RngExt;
+
+use crate::callers::CallerState;
+use crate::error::NodeError;
+use crate::event::{Event, EventSender, MessageSender, send};
+use crate::metrics::Metrics;
+use crate::peers::{Identity, Outbox};
+use crate::store::Store;
+use crate::{admin, callers, leafs, links, peers, store};
+
+/// Signal that asks for a planned stop.
+const SIGTERM: i32 = 15;
+/// Most events handled before timers are looked at again.
+const EVENT_BATCH: usize = 256;
+/// How long a stopping node still accepts connections, so that balancers notice.
+const LAME_DUCK: Duration = Duration::from_millis(1_500);
+/// Time for the last responses to leave the process.
+const FLUSH: Duration = Duration::from_millis(100);
+/// Time between two looks at whether a stop is done.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Runs a node until a planned stop.
+///
+/// # Errors
+///
+/// If it cannot start.
+pub async fn run(settings: NodeSettings) -> Result<(), NodeError> {
+    let clock = Clock::start();
+    let (events, inbox) = mpsc::unbounded();
+    // First of all, so that later threads inherit the signal mask.
+    spawn(wait_for_stop(events.clone())).detach();
+
+    let callers = bind("callers", settings.callers).await?;
+    let peers = bind("peers", settings.peers).await?;
+    let admin = bind("operators", settings.admin).await?;
+    let node = NodeId(rand::rng().random::<u64>() >> 1);
+    let me = Member {
+        node,
+        peer: local_addr(&peers, settings.peers),
+        admin: local_addr(&admin, settings.admin),
+        domain: settings.domain.clone(),
+    };
+    let caller_addr = local_addr(&callers, settings.callers);
+    log::info!(
+        node = node.0, callers:% = caller_addr, peers:% = me.peer, admin:% = me.admin;
+        "listening"
+    );
+
+    let state = CallerState::default();
+    spawn(callers::listen(callers, state.clone(), events.clone())).detach();
+    spawn(links::listen(peers, events.clone())).detach();
+    spawn(admin::listen(admin, events.clone())).detach();
+
+    let identity = Identity {
+        node,
+        cell: settings.cell.clone(),
+    };
+    let engine = Engine::new(engine_settings(&settings, me));
+    let mut hub = Hub {
+        engine,
+        clock,
+        events,
+        identity,
+        state,
+        metrics: Metrics::new()?,
+        store: Store::new(&settings.store),
+        drain: settings.drain,
+        callers: HashMap::new(),
+        peers: HashMap::new(),
+        links: HashMap::new(),
+        leafs: HashMap::new(),
+        watches: HashMap::new(),
+        stop: Stop::Running,
+        tree_logged: 0,
+        epoch_logged: 0,
+    };
+    hub.serve(inbox).await;
+    sleep(FLUSH).await;
+    log::info!("stopped");
+    Ok(())
+}
+
+fn engine_settings(settings: &NodeSettings, me: Member) -> EngineSettings {
+    let spans = CellSettings {
+        hold: settings.hold,
+        silence: settings.hold,
+        heartbeat: settings.heartbeat,
+        ..CellSettings::default()
+    };
+    EngineSettings {
+        cell: settings.cell.clone(),
+        seed: me.node.0,
+        me,
+        seeds: settings.seeds.clone(),
+        spans,
+        once: OnceSettings::default(),
+        replicas: ReplicaSettings::default(),
+        inflight: settings.inflight,
+    }
+}
+
+async fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|error| NodeError::Bind(what, addr, error))
+}
+
+fn local_addr(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(wanted)
+}
+
+async fn wait_for_stop(events: EventSender) {
+    match compio::signal::unix::signal(SIGTERM).await {
+        Ok(()) => send(&events, Event::Stop),
+        Err(error) => log::error!("cannot wait for signals: {error}"),
+    }
+}
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stop {
+    Running,
+    /// Since when the node is leaving, and whether the engine has nothing left to do.
+    Leaving {
+        since: Time,
+        idle: bool,
+    },
+}
+
+/// A caller's request that waits for its response.
+struct Caller {
+    since: Time,
+    sender: oneshot::Sender<Response>,
+}
+
+struct Hub {
+    engine: Engine,
+    clock: Clock,
+    events: EventSender,
+    identity: Identity,
+    state: CallerState,
+    metrics: Metrics,
+    store: Store,
+    drain: Duration,
+    callers: HashMap<Token, Caller>,
+    /// Connections to peers. Dropping the task closes the connection.
+    peers: HashMap<SocketAddr, (Outbox, JoinHandle<()>)>,
+    links: HashMap<LinkId, MessageSender>,
+    leafs: HashMap<(LeafId, SocketAddr), mpsc::UnboundedSender<LeafCall>>,
+    watches: HashMap<String, JoinHandle<()>>,
+    stop: Stop,
+    tree_logged: u64,
+    epoch_logged: u64,
+}
+
+impl Hub {
+    async fn serve(&mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
+        self.step(Input::Tick);
+        while !self.is_done() {
+            if let Some(event) = self.next_event(&mut inbox).await {
+                self.on_event(event);
+                self.drain_inbox(&mut inbox);
+            } else {
+                self.step(Input::Tick);
+            }
+            self.log_changes();
+        }
+    }
+
+    /// Waits for an event, or returns `None` when a timer is due.
+    async fn next_event(&self, inbox: &mut mpsc::UnboundedReceiver<Event>) -> Option<Event> {
+        let now = self.clock.now();
+        let mut wake = self.engine.next_wake().unwrap_or(now + STOP_POLL);
+        if self.stop != Stop::Running {
+            wake = wake.min(now + STOP_POLL);
+        }
+        let timer = std::pin::pin!(sleep_until(self.clock.instant(wake)));
+        match select(inbox.next(), timer).await {
+            Either::Left((event, _)) => event,
+            Either::Right(_) => None,
+        }
+    }
+
+    fn drain_inbox(&mut self, inbox: &mut mpsc::UnboundedReceiver<Event>) {
+        for _ in 0..EVENT_BATCH {
+            match inbox.try_recv() {
+                Ok(event) => self.on_event(event),
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Input(Input::LinkDown(link)) => {
+                self.links.remove(&link);
+                self.step(Input::LinkDown(link));
+            }
+            Event::Input(input) => self.step(input),
+            Event::Request(request, sender) => {
+                let since = self.clock.now();
+                self.callers.insert(request.token, Caller { since, sender });
+                self.step(Input::Request(request));
+            }
+            Event::Gone(token) => {
+                self.callers.remove(&token);
+                self.step(Input::Gone(token));
+            }
+            Event::LinkUp(link, sender) => {
+                self.links.insert(link, sender);
+            }
+            Event::Dump(sender) => {
+                let _ = sender.send(self.engine.dump(self.clock.now()));
+            }
+            Event::Metrics(sender) => {
+                let _ = sender.send(self.metrics.export(self.engine.counts()));
+            }
+            Event::Ready(sender) => {
+                let ready = self.engine.is_ready() && self.stop == Stop::Running;
+                let _ = sender.send(ready);
+            }
+            Event::Stop => self.start_stop(),
+        }
+    }
+
+    fn start_stop(&mut self) {
+        if self.stop != Stop::Running {
+            return;
+        }
+        log::info!("stopping");
+        self.stop = Stop::Leaving {
+            since: self.clock.now(),
+            idle: false,
+        };
+        self.state.closing.set(true);
+        self.step(Input::Stop);
+    }
+
+    /// Returns whether a planned stop is done or has taken too long.
+    fn is_done(&self) -> bool {
+        let Stop::Leaving { since, idle } = self.stop else {
+            return false;
+        };
+        let elapsed = self.clock.now().since(since);
+        let idle = idle && self.state.open.get() == 0;
+        (idle && elapsed >= LAME_DUCK) || elapsed >= self.drain.max(LAME_DUCK)
+    }
+
+    fn step(&mut self, input: Input) {
+        let mut outputs = Vec::new();
+        self.engine.handle(input, self.clock.now(), &mut outputs);
+        for output in outputs {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Respond(token, response) => self.respond(token, response),
+            Output::Peers(addrs) => self.set_peers(&addrs),
+            Output::ToPeer(addr, message) => {
+                if let Some((outbox, _)) = self.peers.get(&addr) {
+                    outbox.send(message);
+                }
+            }
+            Output::ToLink(link, message) => {
+                if let Some(sender) = self.links.get(&link) {
+                    let _ = sender.unbounded_send(message);
+                }
+            }
+            Output::CallLeaf(call) => self.call_leaf(*call),
+            Output::Watch(keys) => self.set_watches(&keys),
+            Output::Read(key) => {
+                let (store, events) = (self.store.clone(), self.events.clone());
+                spawn(store::read(store, key, self.clock, events)).detach();
+            }
+            Output::Write {
+                key,
+                expects,
+                value,
+            } => {
+                let (store, events) = (self.store.clone(), self.events.clone());
+                spawn(store::write(store, key, expects, value, events)).detach();
+            }
+            Output::Stopped => {
+                if let Stop::Leaving { idle, .. } = &mut self.stop {
+                    *idle = true;
+                }
+            }
+        }
+    }
+
+    fn respond(&mut self, token: Token, response: Response) {
+        if let Some(caller) = self.callers.remove(&token) {
+            let elapsed = self.clock.now().since(caller.since);
+            self.metrics.on_response(&response, elapsed);
+            let _ = caller.sender.send(response);
+        }
+    }
+
+    fn set_peers(&mut self, addrs: &[SocketAddr]) {
+        self.peers.retain(|addr, _| addrs.contains(addr));
+        for addr in addrs {
+            let (events, identity) = (&self.events, &self.identity);
+            self.peers.entry(*addr).or_insert_with(|| {
+                let outbox = Outbox::default();
+                let task = peers::keep(*addr, identity.clone(), outbox.clone(), events.clone());
+                (outbox, spawn(task))
+            });
+        }
+    }
+
+    fn set_watches(&mut self, keys: &[String]) {
+        self.watches.retain(|key, _| keys.contains(key));
+        for key in keys {
+            let (store, events, clock) = (&self.store, &self.events, self.clock);
+            self.watches.entry(key.clone()).or_insert_with(|| {
+                spawn(store::watch(
+                    store.clone(),
+                    key.clone(),
+                    clock,
+                    events.clone(),
+                ))
+            });
+        }
+    }
+
+    fn call_leaf(&mut self, call: LeafCall) {
+        let events = &self.events;
+        let calls = self.leafs.entry((call.leaf, call.addr)).or_insert_with(|| {
+            let (sender, receiver) = mpsc::unbounded();
+            spawn(leafs::serve(receiver, events.clone())).detach();
+            sender
+        });
+        let _ = calls.unbounded_send(call);
+    }
+
+    fn log_changes(&mut self) {
+        let tree = self.engine.tree_version();
+        if tree != self.tree_logged {
+            self.tree_logged = tree;
+            log::info!(version = tree; "tree in force");
+        }
+        let roster = self.engine.cell().roster();
+        if roster.epoch.0 != self.epoch_logged {
+            self.epoch_logged = roster.epoch.0;
+            log::info!(epoch = roster.epoch.0, members = roster.members.len(); "roster in force");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/leafs.rs
@@ -0,0 +1,159 @@
+//! Connections to leafs. A task for each leaf owns its connections.
+//!
+//! The engine starts no more calls than the leaf has slots, and each call uses one connection, so
+//! the number of connections stays at or below the slots.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use compio::time::timeout;
+use cyper_core::HyperStream;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response, StatusCode};
+use monsoondeal_core::{IndexVersion, MapVersion, Snapshot};
+use monsoondeal_engine::Input;
+use monsoondeal_engine::io::{LeafCall, LeafEnd};
+use serde_json::value::RawValue;
+
+use crate::event::{Event, EventSender, send};
+use crate::http::header;
+
+/// Largest answer of a leaf, in bytes.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+/// Longest time to open a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+type Connection = SendRequest<Full<Bytes>>;
+
+/// Serves the calls to one leaf until the sender is dropped.
+pub(crate) async fn serve(mut calls: mpsc::UnboundedReceiver<LeafCall>, events: EventSender) {
+    let mut idle: Vec<Connection> = Vec::new();
+    let mut running = FuturesUnordered::new();
+    loop {
+        futures_util::select! {
+            call = calls.next() => match call {
+                Some(call) => {
+                    idle.retain(|c| !c.is_closed());
+                    running.push(run(idle.pop(), call));
+                }
+                None => break,
+            },
+            (connection, ticket, end) = running.select_next_some() => {
+                idle.extend(connection);
+                send(&events, Event::Input(Input::LeafDone(ticket, end)));
+            }
+        }
+    }
+    // Calls that are under way are waited for, so that their ends are reported.
+    while let Some((_, ticket, end)) = running.next().await {
+        send(&events, Event::Input(Input::LeafDone(ticket, end)));
+    }
+}
+
+/// Runs one call and returns the connection if it can be used again.
+async fn run(
+    idle: Option<Connection>,
+    call: LeafCall,
+) -> (Option<Connection>, monsoondeal_engine::io::Ticket, LeafEnd) {
+    let ticket = call.ticket;
+    let limit = call.timeout;
+    match timeout(limit, exchange(idle, call)).await {
+        Ok((connection, end)) => (connection, ticket, end),
+        Err(_) => (None, ticket, LeafEnd::Broken),
+    }
+}
+
+async fn exchange(idle: Option<Connection>, call: LeafCall) -> (Option<Connection>, LeafEnd) {
+    let Some(mut request) = request(&call) else {
+        return (idle, LeafEnd::NoConnection);
+    };
+    // An idle connection that the leaf has closed gives the request back unsent.
+    if let Some(mut connection) = idle {
+        match connection.try_send_request(request).await {
+            Ok(response) => return read(connection, response).await,
+            Err(mut error) => match error.take_message() {
+                Some(unsent) => request = unsent,
+                None => return (None, LeafEnd::Broken),
+            },
+        }
+    }
+    let Some(mut connection) = connect(&call).await else {
+        return (None, LeafEnd::NoConnection);
+    };
+    match connection.try_send_request(request).await {
+        Ok(response) => read(connection, response).await,
+        Err(mut error) => match error.take_message() {
+            Some(_) => (None, LeafEnd::NoConnection),
+            None => (None, LeafEnd::Broken),
+        },
+    }
+}
+
+async fn connect(call: &LeafCall) -> Option<Connection> {
+    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(call.addr))
+        .await
+        .ok()?
+        .ok()?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = handshake(HyperStream::new(stream)).await.ok()?;
+    compio::runtime::spawn(async move {
+        let _ = connection.await;
+    })
+    .detach();
+    Some(sender)
+}
+
+fn request(call: &LeafCall) -> Option<Request<Full<Bytes>>> {
+    let mut builder = Request::post(format!("/query/{}", call.kind))
+        .header(hyper::header::HOST, call.addr.to_string())
+        .header(header::INDEX_VERSION, call.snapshot.index.0)
+        .header(header::MAP_VERSION, call.snapshot.map.0)
+        .header(header::GROUP, call.group)
+        .header(header::DEADLINE, call.budget.as_millis().max(1) as u64);
+    if let Some(key) = &call.key {
+        builder = builder.header(header::IDEMPOTENCY_KEY, key);
+    }
+    builder.body(Full::new(call.body.clone())).ok()
+}
+
+async fn read(
+    connection: Connection,
+    response: Response<hyper::body::Incoming>,
+) -> (Option<Connection>, LeafEnd) {
+    let (parts, body) = response.into_parts();
+    let Ok(body) = Limited::new(body, ANSWER_LIMIT).collect().await else {
+        return (None, LeafEnd::Broken);
+    };
+    let body = body.to_bytes();
+    let end = match parts.status {
+        StatusCode::OK => data(&parts.headers, body),
+        StatusCode::CONFLICT => LeafEnd::Mismatch,
+        StatusCode::SERVICE_UNAVAILABLE if parts.headers.contains_key(header::NOT_RUN) => {
+            LeafEnd::Shed
+        }
+        _ => LeafEnd::Failed,
+    };
+    (Some(connection), end)
+}
+
+/// Checks an answer: it must carry a stamp and be JSON.
+fn data(headers: &hyper::HeaderMap, body: Bytes) -> LeafEnd {
+    let number = |name| headers.get(name)?.to_str().ok()?.parse().ok();
+    let (Some(index), Some(map)) = (number(header::INDEX_VERSION), number(header::MAP_VERSION))
+    else {
+        return LeafEnd::Failed;
+    };
+    if serde_json::from_slice::<&RawValue>(&body).is_err() {
+        return LeafEnd::Failed;
+    }
+    let stamp = Snapshot {
+        index: IndexVersion(index),
+        map: MapVersion(map),
+    };
+    LeafEnd::Data { stamp, body }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,28 @@
+//! The node daemon: tasks that own sockets around one [`Engine`](monsoondeal_engine::Engine).
+//!
+//! One task, the hub, owns the engine. All others own a socket each and talk to the hub by
+//! [`event::Event`]s:
+//!
+//! - `callers` serves requests over HTTP;
+//! - `admin` serves metrics, the state dump and the readiness check;
+//! - `links` accepts connections of peers, `peers` opens them;
+//! - `leafs` keeps the connections to leafs;
+//! - `store` reads, watches and writes objects of the platform.
+//!
+//! Everything runs on one thread.
+
+mod admin;
+mod callers;
+mod error;
+pub mod event;
+mod frame;
+mod http;
+mod hub;
+mod leafs;
+mod links;
+mod metrics;
+mod peers;
+pub mod store;
+
+pub use error::NodeError;
+pub use hub::run;
--- /dev/null
+++ b/crates/node/src/links.rs
@@ -0,0 +1,41 @@
+//! Connections that peers open to this node.
+
+use compio::net::{TcpListener, TcpStream};
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
+use monsoondeal_engine::Input;
+use monsoondeal_engine::io::LinkId;
+
+use crate::event::{Event, EventSender, send};
+use crate::frame;
+
+/// Accepts connections until the process ends.
+pub(crate) async fn listen(listener: TcpListener, events: EventSender) {
+    let mut next = 0;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        next += 1;
+        compio::runtime::spawn(serve(stream, LinkId(next), events.clone())).detach();
+    }
+}
+
+async fn serve(stream: TcpStream, link: LinkId, events: EventSender) {
+    let limits = Some(frame::limits());
+    let accepted = tokio_tungstenite::accept_async_with_config(frame::wrap(stream), limits).await;
+    let Ok(socket) = accepted else { return };
+    let (mut sink, mut stream) = socket.split();
+    let (sender, receiver) = mpsc::unbounded();
+    send(&events, Event::LinkUp(link, sender));
+
+    let reading = std::pin::pin!(frame::read_all(&mut stream, |message| {
+        send(&events, Event::Input(Input::FromLink(link, message)));
+    }));
+    let writing = std::pin::pin!(frame::write_all(&mut sink, receiver));
+    match select(reading, writing).await {
+        Either::Left(_) | Either::Right(_) => {}
+    }
+    send(&events, Event::Input(Input::LinkDown(link)));
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,102 @@
+//! Connections that this node opens to its peers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use compio::time::{sleep, timeout};
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
+use monsoondeal_core::NodeId;
+use monsoondeal_engine::Input;
+use monsoondeal_engine::message::Message;
+use rand::RngExt;
+
+use crate::event::{Event, EventSender, MessageSender, send};
+use crate::frame;
+
+/// Longest time to open a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Shortest and longest wait between two tries, in milliseconds.
+const RETRY_MILLIS: std::ops::Range<u64> = 100..400;
+
+/// Who this node is, as told to its peers.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
+    pub(crate) node: NodeId,
+    pub(crate) cell: String,
+}
+
+/// `Outbox` hands messages to the present connection to a peer, if there is one.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outbox {
+    sender: std::rc::Rc<std::cell::RefCell<Option<MessageSender>>>,
+}
+
+impl Outbox {
+    /// Sends a message; without a connection it is lost, as on a connection that breaks.
+    pub(crate) fn send(&self, message: Message) {
+        if let Some(sender) = &*self.sender.borrow() {
+            let _ = sender.unbounded_send(message);
+        }
+    }
+
+    fn set(&self, sender: Option<MessageSender>) {
+        *self.sender.borrow_mut() = sender;
+    }
+}
+
+/// Keeps a connection to a peer until the task is dropped.
+pub(crate) async fn keep(
+    addr: SocketAddr,
+    identity: Identity,
+    outbox: Outbox,
+    events: EventSender,
+) {
+    loop {
+        if let Some(socket) = open(addr).await {
+            let (sender, receiver) = mpsc::unbounded();
+            let hello = Message::Hello {
+                node: identity.node,
+                cell: identity.cell.clone(),
+            };
+            let _ = sender.unbounded_send(hello);
+            outbox.set(Some(sender));
+            send(&events, Event::Input(Input::PeerUp(addr)));
+            carry(addr, socket, receiver, &events).await;
+            outbox.set(None);
+            send(&events, Event::Input(Input::PeerDown(addr)));
+        }
+        let wait = rand::rng().random_range(RETRY_MILLIS);
+        sleep(Duration::from_millis(wait)).await;
+    }
+}
+
+async fn carry(
+    addr: SocketAddr,
+    socket: frame::Socket,
+    receiver: mpsc::UnboundedReceiver<Message>,
+    events: &EventSender,
+) {
+    let (mut sink, mut stream) = socket.split();
+    let reading = std::pin::pin!(frame::read_all(&mut stream, |message| {
+        send(events, Event::Input(Input::FromPeer(addr, message)));
+    }));
+    let writing = std::pin::pin!(frame::write_all(&mut sink, receiver));
+    match select(reading, writing).await {
+        Either::Left(_) | Either::Right(_) => {}
+    }
+}
+
+async fn open(addr: SocketAddr) -> Option<frame::Socket> {
+    let url = format!("ws://{addr}/peer");
+    let opening = async {
+        let stream = TcpStream::connect(addr).await.ok()?;
+        let limits = Some(frame::limits());
+        let opened =
+            tokio_tungstenite::client_async_with_config(url, frame::wrap(stream), limits).await;
+        opened.ok().map(|(socket, _)| socket)
+    };
+    timeout(CONNECT_LIMIT, opening).await.ok().flatten()
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,12 @@
+//! Routing decisions: which node holds the lease on which leaf, which replica a call goes to, and
+//! the life of one query over all groups of a partition map.
+//!
+//! All types are state machines without I/O.
+
+pub mod place;
+pub mod query;
+pub mod replica;
+
+pub use place::{Placement, load_bound, place, seat, slot_of};
+pub use query::{Action, Answer, Env, Loss, Plan, PlanGroup, Query, QuerySettings, Reply};
+pub use replica::{ReplicaSettings, Replicas};
--- /dev/null
+++ b/crates/route/src/place.rs
@@ -0,0 +1,129 @@
+//! Placement of leaf leases on the nodes of a cell.
+//!
+//! Every node computes the same placement from the same roster and leaf list; nothing is stored.
+//! Each pair of node and leaf has a hash score, as in rendezvous hashing. Pairs are taken in order
+//! of score until every leaf has a holder; a node that is full, or that already holds a replica of
+//! the leaf's group, is passed over. The load bound keeps a node within [`LOAD_FACTOR`] times the
+//! mean, and the scores keep moves few when the roster changes.
+
+use std::collections::{HashMap, HashSet};
+
+use monsoondeal_core::{LeafId, LeafSeat, NodeId};
+use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
+
+/// Largest load of a node as a multiple of the mean, where the mean is at least 4 leafs.
+pub const LOAD_FACTOR: f64 = 1.25;
+/// Secrets of the pair scores. Part of the protocol: all nodes must agree on them.
+const SECRETS: RapidSecrets = RapidSecrets::seed(0x6d6f_6e73_6f6f_6e01);
+
+/// Returns the seat of a leaf in a group of a service.
+pub fn seat(leaf: LeafId, service: &str, group: u32) -> LeafSeat {
+    let mut bytes = service.as_bytes().to_vec();
+    bytes.extend(group.to_le_bytes());
+    LeafSeat {
+        leaf,
+        group: rapidhash_v3_seeded(&bytes, &SECRETS),
+    }
+}
+
+/// Returns the position of a key among `count` places. The same on every node.
+pub fn slot_of(service: &str, key: &str, count: usize) -> usize {
+    let mut bytes = service.as_bytes().to_vec();
+    // A separator that no service name holds, so that two pairs never run together.
+    bytes.push(0);
+    bytes.extend(key.as_bytes());
+    let hash = rapidhash_v3_seeded(&bytes, &SECRETS);
+    (hash % count.max(1) as u64) as usize
+}
+
+/// `Placement` maps each leaf to the node that should hold its lease.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Placement {
+    holders: HashMap<LeafId, NodeId>,
+}
+
+impl Placement {
+    /// Returns the holder of a leaf, or `None` for an unknown leaf or an empty roster.
+    pub fn holder(&self, leaf: LeafId) -> Option<NodeId> {
+        self.holders.get(&leaf).copied()
+    }
+
+    /// Iterates over all leafs and their holders, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = (LeafId, NodeId)> + '_ {
+        self.holders.iter().map(|(leaf, node)| (*leaf, *node))
+    }
+}
+
+/// Returns the most leafs that one node may hold.
+pub fn load_bound(nodes: usize, leafs: usize) -> usize {
+    let mean = leafs as f64 / nodes.max(1) as f64;
+    let bound = (mean * LOAD_FACTOR).floor() as usize;
+    // Below 4 leafs a node, a whole leaf is more than a quarter of the mean.
+    bound.max(mean.ceil() as usize)
+}
+
+/// Computes the placement of `leafs` on `nodes`; neither order matters.
+pub fn place(nodes: &[NodeId], leafs: &[LeafSeat]) -> Placement {
+    let mut placement = Placement::default();
+    if nodes.is_empty() {
+        return placement;
+    }
+
+    let bound = load_bound(nodes.len(), leafs.len());
+    let mut loads = vec![0_usize; nodes.len()];
+    let mut groups: HashSet<(usize, u64)> = HashSet::new();
+    for (_, node, leaf) in ranked_pairs(nodes, leafs) {
+        let seat = leafs[leaf as usize];
+        let node = node as usize;
+        let taken = placement.holders.contains_key(&seat.leaf);
+        if taken || loads[node] >= bound || groups.contains(&(node, seat.group)) {
+            continue;
+        }
+        loads[node] += 1;
+        groups.insert((node, seat.group));
+        placement.holders.insert(seat.leaf, nodes[node]);
+    }
+    place_rest(nodes, leafs, &mut loads, &mut placement);
+    placement
+}
+
+/// Places the leafs that the group rule left over, each on the least loaded node.
+fn place_rest(
+    nodes: &[NodeId],
+    leafs: &[LeafSeat],
+    loads: &mut [usize],
+    placement: &mut Placement,
+) {
+    let mut rest: Vec<LeafId> = leafs
+        .iter()
+        .map(|s| s.leaf)
+        .filter(|l| !placement.holders.contains_key(l))
+        .collect();
+    rest.sort_unstable();
+    for leaf in rest {
+        let least = (0..nodes.len()).min_by_key(|&i| (loads[i], nodes[i]));
+        let Some(node) = least else { return };
+        loads[node] += 1;
+        placement.holders.insert(leaf, nodes[node]);
+    }
+}
+
+/// Returns all pairs as (score, node index, leaf index), best first.
+fn ranked_pairs(nodes: &[NodeId], leafs: &[LeafSeat]) -> Vec<(u64, u32, u32)> {
+    let mut pairs = Vec::with_capacity(nodes.len() * leafs.len());
+    for (i, node) in nodes.iter().enumerate() {
+        for (j, seat) in leafs.iter().enumerate() {
+            pairs.push((score(*node, seat.leaf), i as u32, j as u32));
+        }
+    }
+    // Equal scores are ordered by identity, so that the result does not depend on input order.
+    pairs.sort_unstable_by_key(|&(score, i, j)| (score, nodes[i as usize], leafs[j as usize].leaf));
+    pairs
+}
+
+fn score(node: NodeId, leaf: LeafId) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&node.0.to_le_bytes());
+    bytes[8..].copy_from_slice(&leaf.0.to_le_bytes());
+    rapidhash_v3_seeded(&bytes, &SECRETS)
+}
--- /dev/null
+++ b/crates/route/src/query.rs
@@ -0,0 +1,572 @@
+//! The life of one query over all groups of a partition map.
+//!
+//! A query is pinned to one snapshot. It calls one leaf of every group, retries refused calls on
+//! another replica, hedges the last few groups under a budget, and ends when every group is
+//! answered or lost, or at its deadline. Only answers stamped with the query's own snapshot count.
+
+use std::time::Duration;
+
+use monsoondeal_core::{CallId, Coverage, Doubt, LeafId, Refusal, Snapshot, Time};
+use monsoondeal_limit::Budget;
+use smallvec::SmallVec;
+
+use crate::replica::Replicas;
+
+/// Refused calls a group may have for each of its replicas before it counts as lost.
+const REFUSALS_PER_REPLICA: u32 = 4;
+/// Extra calls that one group may have under hedging.
+const HEDGES_PER_GROUP: u32 = 2;
+/// Groups from which on the median of the query itself tells when a call is late.
+const MEDIAN_GROUPS: usize = 4;
+
+/// `PlanGroup` is one group of the partition map.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlanGroup {
+    /// Number of the group.
+    pub group: u32,
+    /// Its replicas that may be called.
+    pub leafs: SmallVec<[LeafId; 2]>,
+}
+
+/// `Plan` is the partition map that a query runs over.
+///
+/// Invariant: lists every group of the map, those without a callable leaf included, since coverage
+/// counts against all of them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// The pinned snapshot.
+    pub snapshot: Snapshot,
+    /// All groups.
+    pub groups: Vec<PlanGroup>,
+}
+
+/// `QuerySettings` bound one query.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuerySettings {
+    /// Time of the answer at the latest.
+    pub deadline: Time,
+    /// Whether calls may be hedged, and repeated after an end that may have run.
+    pub repeatable: bool,
+    /// Hedge once at most this share of the groups is outstanding.
+    pub hedge_share: f64,
+    /// Hedge calls that are out for this multiple of the median response.
+    pub hedge_factor: f64,
+    /// Wait before a refused group is tried again, doubled each time round.
+    pub backoff: Duration,
+}
+
+impl Default for QuerySettings {
+    fn default() -> Self {
+        Self {
+            deadline: Time::MAX,
+            repeatable: true,
+            hedge_share: 0.05,
+            hedge_factor: 1.2,
+            backoff: Duration::from_millis(1),
+        }
+    }
+}
+
+/// `Reply` is the end of one call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply<T> {
+    /// The leaf answered from the snapshot in the stamp.
+    Data {
+        /// Snapshot that the leaf stamped on the answer.
+        stamp: Snapshot,
+        /// Content of the answer.
+        part: T,
+    },
+    /// The call was proved not to have run.
+    NotRun(Refusal),
+    /// The call may have run.
+    Unknown(Doubt),
+}
+
+/// `Action` is something the query wants done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a call.
+    Call {
+        /// Identity of the call.
+        call: CallId,
+        /// Group that it is for.
+        group: u32,
+        /// Leaf to call.
+        leaf: LeafId,
+        /// Whether another call for the group is under way.
+        hedge: bool,
+    },
+    /// Cancel a call whose answer is no longer wanted.
+    Cancel {
+        /// Identity of the call.
+        call: CallId,
+        /// Leaf that was called.
+        leaf: LeafId,
+    },
+}
+
+/// `Answer` is the end of a query.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer<T> {
+    /// Snapshot of every part.
+    pub snapshot: Snapshot,
+    /// Groups with a part, against the whole partition map.
+    pub coverage: Coverage,
+    /// Parts by group.
+    pub parts: Vec<(u32, T)>,
+    /// Groups without a part and the last reason.
+    pub lost: Vec<(u32, Loss)>,
+    /// Group that was answered last, and the time it took.
+    pub slowest: Option<(u32, Duration)>,
+    /// Time from the start to the end.
+    pub elapsed: Duration,
+    /// Calls sent to leafs, hedges and retries included.
+    pub calls: u32,
+    /// Hedged calls among them.
+    pub hedges: u32,
+}
+
+/// `Loss` is the reason for which a group has no part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// Every call was proved not to have run.
+    NotRun(Refusal),
+    /// A call may have run.
+    Unknown(Doubt),
+    /// The partition map lists no callable leaf.
+    NoLeaf,
+    /// Still waiting at the deadline.
+    Deadline,
+}
+
+/// `Env` is what queries of one node share.
+#[derive(Debug)]
+pub struct Env<'a> {
+    /// Knowledge of leafs.
+    pub replicas: &'a mut Replicas,
+    /// Budget of hedged calls.
+    pub hedges: &'a mut Budget,
+    /// Budget of repeated calls.
+    pub retries: &'a mut Budget,
+}
+
+/// A call under way.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    call: CallId,
+    replica: usize,
+    sent: Time,
+}
+
+#[derive(Debug)]
+struct Group<T> {
+    running: SmallVec<[Running; 2]>,
+    part: Option<T>,
+    loss: Option<Loss>,
+    refusals: u32,
+    hedges: u32,
+    /// When a refused group is tried again.
+    retry_at: Option<Time>,
+    /// Replica that ended last without an answer; another is preferred.
+    last: Option<usize>,
+}
+
+impl<T> Default for Group<T> {
+    fn default() -> Self {
+        Self {
+            running: SmallVec::new(),
+            part: None,
+            loss: None,
+            refusals: 0,
+            hedges: 0,
+            retry_at: None,
+            last: None,
+        }
+    }
+}
+
+impl<T> Group<T> {
+    fn is_open(&self) -> bool {
+        self.part.is_none() && self.loss.is_none()
+    }
+}
+
+/// `Query` runs one query. Calls are numbered from the identity given at the start.
+#[derive(Debug)]
+pub struct Query<T> {
+    plan: std::rc::Rc<Plan>,
+    settings: QuerySettings,
+    groups: Vec<Group<T>>,
+    started: Time,
+    next_call: CallId,
+    /// Groups neither answered nor lost.
+    open: usize,
+    answered: usize,
+    /// Time from the start until half of the groups were answered.
+    median: Option<Duration>,
+    slowest: Option<(u32, Duration)>,
+    calls: u32,
+    hedges: u32,
+}
+
+impl<T> Query<T> {
+    /// Starts a query. Its calls get the identities from `first_call` on, at most
+    /// [`Query::max_calls`] of them.
+    pub fn start(
+        plan: std::rc::Rc<Plan>,
+        settings: QuerySettings,
+        first_call: CallId,
+        now: Time,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) -> Self {
+        let count = plan.groups.len();
+        let mut query = Self {
+            plan,
+            settings,
+            groups: std::iter::repeat_with(Group::default).take(count).collect(),
+            started: now,
+            next_call: first_call,
+            open: count,
+            answered: 0,
+            median: None,
+            slowest: None,
+            calls: 0,
+            hedges: 0,
+        };
+        env.hedges.earn(count);
+        env.retries.earn(count);
+        for at in 0..count {
+            query.call(at, false, now, env, actions);
+        }
+        query
+    }
+
+    /// Returns the most call identities that a query over the plan can use.
+    pub fn max_calls(plan: &Plan) -> u64 {
+        let calls = |g: &PlanGroup| {
+            1 + u64::from(HEDGES_PER_GROUP)
+                + g.leafs.len() as u64 * u64::from(REFUSALS_PER_REPLICA + 1)
+        };
+        plan.groups.iter().map(calls).sum()
+    }
+
+    /// Returns whether every group is answered or lost.
+    pub fn is_done(&self) -> bool {
+        self.open == 0
+    }
+
+    /// Returns the snapshot that the query is pinned to.
+    pub fn snapshot(&self) -> Snapshot {
+        self.plan.snapshot
+    }
+
+    /// Returns the deadline.
+    pub fn deadline(&self) -> Time {
+        self.settings.deadline
+    }
+
+    /// Handles the end of a call. Ends of calls that are no longer wanted are ignored.
+    pub fn on_reply(
+        &mut self,
+        call: CallId,
+        reply: Reply<T>,
+        now: Time,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some((at, running)) = self.take_running(call) else {
+            return;
+        };
+        let leaf = self.plan.groups[at].leafs[running.replica];
+        match reply {
+            Reply::Data { stamp, part } if stamp == self.plan.snapshot => {
+                env.replicas.answered(leaf, now.since(running.sent));
+                self.on_part(at, part, now, env, actions);
+            }
+            Reply::Data { .. } if self.settings.repeatable => {
+                env.replicas.failed(leaf, now);
+                self.on_refusal(at, running.replica, Refusal::Mismatch, now);
+            }
+            Reply::Data { .. } => {
+                // It ran, though on another snapshot; its answer cannot be used.
+                env.replicas.failed(leaf, now);
+                self.lose(at, Loss::Unknown(Doubt::LeafError), now, env, actions);
+            }
+            Reply::NotRun(reason) => {
+                if self.groups[at].running.is_empty() {
+                    env.replicas.failed(leaf, now);
+                    self.on_refusal(at, running.replica, reason, now);
+                } else {
+                    // A refused hedge costs nothing; the first call goes on.
+                    env.replicas.abandoned(leaf, Duration::ZERO);
+                    env.hedges.refund();
+                }
+            }
+            Reply::Unknown(doubt) => {
+                env.replicas.failed(leaf, now);
+                self.on_doubt(at, running.replica, doubt, now, env, actions);
+            }
+        }
+        self.on_tick(now, env, actions);
+    }
+
+    /// Sends due retries and hedges, and gives up at the deadline.
+    pub fn on_tick(&mut self, now: Time, env: &mut Env<'_>, actions: &mut Vec<Action>) {
+        if now >= self.settings.deadline {
+            self.give_up(now, env, actions);
+            return;
+        }
+        for at in 0..self.groups.len() {
+            let group = &mut self.groups[at];
+            if group.retry_at.is_some_and(|due| now >= due) {
+                group.retry_at = None;
+                self.call(at, false, now, env, actions);
+            }
+        }
+        self.hedge(now, env, actions);
+    }
+
+    /// Returns when [`Query::on_tick`] has something to do without a further reply.
+    pub fn next_wake(&self) -> Time {
+        let mut wake = self.settings.deadline;
+        let patience = self.hedge_patience();
+        for group in self.groups.iter().filter(|g| g.is_open()) {
+            if let Some(due) = group.retry_at {
+                wake = wake.min(due);
+            }
+            if let (Some(patience), Some(last)) = (patience, group.running.last())
+                && group.hedges < HEDGES_PER_GROUP
+            {
+                wake = wake.min(last.sent + patience * (group.hedges + 1));
+            }
+        }
+        wake
+    }
+
+    /// Takes the answer of an ended query.
+    pub fn into_answer(self, now: Time) -> Answer<T> {
+        let total = self.groups.len() as u32;
+        let mut parts = Vec::with_capacity(self.groups.len());
+        let mut lost = Vec::new();
+        for (group, state) in self.plan.groups.iter().zip(self.groups) {
+            match state.part {
+                Some(part) => parts.push((group.group, part)),
+                None => lost.push((group.group, state.loss.unwrap_or(Loss::Deadline))),
+            }
+        }
+        Answer {
+            snapshot: self.plan.snapshot,
+            coverage: Coverage {
+                answered: parts.len() as u32,
+                total,
+            },
+            parts,
+            lost,
+            slowest: self.slowest,
+            elapsed: now.since(self.started),
+            calls: self.calls,
+            hedges: self.hedges,
+        }
+    }
+
+    fn take_running(&mut self, call: CallId) -> Option<(usize, Running)> {
+        for (at, group) in self.groups.iter_mut().enumerate() {
+            if let Some(i) = group.running.iter().position(|r| r.call == call) {
+                return Some((at, group.running.remove(i)));
+            }
+        }
+        None
+    }
+
+    /// Calls a replica of the group, another than the one that failed last where there is one.
+    fn call(
+        &mut self,
+        at: usize,
+        hedge: bool,
+        now: Time,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let plan = &self.plan.groups[at];
+        let group = &mut self.groups[at];
+        let busy = |i: usize| group.running.iter().any(|r| r.replica == i);
+        let last = group.last;
+        let other = env
+            .replicas
+            .pick(&plan.leafs, now, |i| busy(i) || Some(i) == last);
+        let choice = other.or_else(|| env.replicas.pick(&plan.leafs, now, |_| false));
+        let Some(replica) = choice else {
+            group.loss = Some(Loss::NoLeaf);
+            self.open -= 1;
+            return;
+        };
+
+        let leaf = plan.leafs[replica];
+        let call = self.next_call;
+        self.next_call.0 += 1;
+        self.calls += 1;
+        env.replicas.sent(leaf);
+        group.running.push(Running {
+            call,
+            replica,
+            sent: now,
+        });
+        actions.push(Action::Call {
+            call,
+            group: plan.group,
+            leaf,
+            hedge,
+        });
+    }
+
+    fn on_part(
+        &mut self,
+        at: usize,
+        part: T,
+        now: Time,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.groups[at].part = Some(part);
+        self.open -= 1;
+        self.answered += 1;
+        let elapsed = now.since(self.started);
+        self.slowest = Some((self.plan.groups[at].group, elapsed));
+        if self.answered * 2 >= self.groups.len() && self.median.is_none() {
+            self.median = Some(elapsed);
+        }
+        self.cancel_running(at, now, env, actions);
+    }
+
+    fn on_refusal(&mut self, at: usize, replica: usize, reason: Refusal, now: Time) {
+        let replicas = self.plan.groups[at].leafs.len() as u32;
+        let group = &mut self.groups[at];
+        group.last = Some(replica);
+        group.refusals += 1;
+        if group.refusals >= replicas * REFUSALS_PER_REPLICA || reason == Refusal::Expired {
+            group.loss = Some(Loss::NotRun(reason));
+            self.open -= 1;
+            return;
+        }
+        // The first try of each replica is immediate; later rounds back off.
+        let round = group.refusals / replicas;
+        let wait = if round == 0 {
+            Duration::ZERO
+        } else {
+            self.settings.backoff * (1 << round)
+        };
+        group.retry_at = Some(now + wait);
+    }
+
+    fn on_doubt(
+        &mut self,
+        at: usize,
+        replica: usize,
+        doubt: Doubt,
+        now: Time,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.settings.repeatable {
+            self.lose(at, Loss::Unknown(doubt), now, env, actions);
+            return;
+        }
+        if !self.groups[at].running.is_empty() {
+            return;
+        }
+        let replicas = self.plan.groups[at].leafs.len() as u32;
+        let group = &mut self.groups[at];
+        group.last = Some(replica);
+        group.refusals += 1;
+        if group.refusals < replicas * REFUSALS_PER_REPLICA && env.retries.try_spend() {
+            group.retry_at = Some(now);
+        } else {
+            self.lose(at, Loss::Unknown(doubt), now, env, actions);
+        }
+    }
+
+    fn lose(
+        &mut self,
+        at: usize,
+        loss: Loss,
+        now: Time,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.groups[at].loss = Some(loss);
+        self.groups[at].retry_at = None;
+        self.open -= 1;
+        self.cancel_running(at, now, env, actions);
+    }
+
+    fn cancel_running(
+        &mut self,
+        at: usize,
+        now: Time,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        for running in std::mem::take(&mut self.groups[at].running) {
+            let leaf = self.plan.groups[at].leafs[running.replica];
+            env.replicas.abandoned(leaf, now.since(running.sent));
+            actions.push(Action::Cancel {
+                call: running.call,
+                leaf,
+            });
+        }
+    }
+
+    /// Returns how long a call is waited for before it is hedged, or `None` while no group may be.
+    fn hedge_patience(&self) -> Option<Duration> {
+        if !self.settings.repeatable || self.groups.len() < MEDIAN_GROUPS {
+            return None;
+        }
+        let limit = (self.groups.len() as f64 * self.settings.hedge_share)
+            .floor()
+            .max(1.0);
+        if self.open as f64 > limit {
+            return None;
+        }
+        self.median
+            .map(|median| median.mul_f64(self.settings.hedge_factor))
+    }
+
+    fn hedge(&mut self, now: Time, env: &mut Env<'_>, actions: &mut Vec<Action>) {
+        let Some(patience) = self.hedge_patience() else {
+            return;
+        };
+        for at in 0..self.groups.len() {
+            let group = &self.groups[at];
+            let Some(last) = group.running.last() else {
+                continue;
+            };
+            // Each further hedge of a group waits longer, or a slow group would use up the budget.
+            let due = last.sent + patience * (group.hedges + 1);
+            if !group.is_open() || group.hedges >= HEDGES_PER_GROUP || now < due {
+                continue;
+            }
+            if !env.hedges.try_spend() {
+                return;
+            }
+            self.groups[at].hedges += 1;
+            self.hedges += 1;
+            self.call(at, true, now, env, actions);
+        }
+    }
+
+    fn give_up(&mut self, now: Time, env: &mut Env<'_>, actions: &mut Vec<Action>) {
+        for at in 0..self.groups.len() {
+            if !self.groups[at].is_open() {
+                continue;
+            }
+            let loss = if self.groups[at].running.is_empty() {
+                Loss::NotRun(Refusal::Expired)
+            } else {
+                Loss::Unknown(Doubt::Timeout)
+            };
+            self.lose(at, loss, now, env, actions);
+        }
+    }
+}
--- /dev/null
+++ b/programs/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Benchmarks.
+fn main() {}
--- /dev/null
+++ b/programs/monsoondeal/src/args.rs
@@ -0,0 +1,146 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand};
+use monsoondeal_config::Level;
+
+/// Query tier over many shards: node daemon and operators' commands.
+///
+/// Exit codes: 0 done; 1 failed, or not known whether a change was accepted; 2 bad input; 3 accepted,
+/// but not known to be in force everywhere in time.
+#[derive(Debug, Parser)]
+#[command(name = "monsoondeal", version, propagate_version = true)]
+pub(crate) struct Args {
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Runs a node until SIGTERM
+    Node {
+        /// Settings file, JSON with comments
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Checks a node's settings file and prints all findings
+    Check {
+        /// Settings file, JSON with comments
+        file: PathBuf,
+        /// Print findings as JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Reads and changes the configuration of the estate
+    Ctl(Ctl),
+    /// Prints a completion script for a shell
+    Completion {
+        /// The shell
+        shell: clap_complete::Shell,
+    },
+}
+
+/// Reads and changes the configuration of the estate.
+#[derive(Debug, clap::Args)]
+pub(crate) struct Ctl {
+    /// Address of the platform's object API
+    #[arg(long, env = "MONSOONDEAL_STORE", value_name = "URL")]
+    pub(crate) store: String,
+    /// Owner in whose name to act
+    #[arg(long = "as", env = "MONSOONDEAL_OWNER", value_name = "OWNER")]
+    pub(crate) actor: Option<String>,
+    /// Print JSON
+    #[arg(long)]
+    pub(crate) json: bool,
+    /// Only change the tree if it still has this version
+    #[arg(long, value_name = "VERSION")]
+    pub(crate) expect: Option<u64>,
+    /// After a change, wait until it is in force everywhere, for at most this long
+    #[arg(long, value_name = "SECONDS")]
+    pub(crate) wait: Option<u64>,
+    #[command(subcommand)]
+    pub(crate) act: Act,
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Act {
+    /// Creates an owner
+    CreateOwner {
+        /// Name of the owner
+        owner: String,
+    },
+    /// Creates a service
+    CreateService {
+        /// Name of the service, unique in the estate
+        service: String,
+        /// Owner that it belongs to
+        #[arg(long)]
+        owner: String,
+        /// Cell whose nodes serve it
+        #[arg(long, default_value = "main")]
+        cell: String,
+    },
+    /// Overrides a setting at a level
+    Set {
+        /// Level: /, /owner, /owner/service or /owner/service/kind
+        level: Level,
+        /// Name of the setting
+        setting: String,
+        /// Value, as JSON; a bare word counts as a string
+        value: String,
+    },
+    /// Removes an override, so that the level inherits again
+    Unset {
+        /// Level
+        level: Level,
+        /// Name of the setting
+        setting: String,
+    },
+    /// Prints the settings at a level and where each comes from
+    Show {
+        /// Level
+        level: Level,
+    },
+    /// Prints the whole tree
+    Tree,
+    /// Hands the final say to an owner
+    HandOver {
+        /// Owner who gets it
+        owner: String,
+        /// Month, as in 2026-12
+        #[arg(long)]
+        month: String,
+    },
+    /// Takes a failure domain out: its leafs get no new work
+    DomainOut {
+        /// The failure domain
+        domain: String,
+    },
+    /// Returns a failure domain
+    DomainIn {
+        /// The failure domain
+        domain: String,
+    },
+    /// Marks a leaf as leaving: it gets no new work
+    LeafOut {
+        /// Identity of the leaf
+        leaf: u64,
+    },
+    /// Takes the mark of a leaf back
+    LeafIn {
+        /// Identity of the leaf
+        leaf: u64,
+    },
+    /// Tells whether a version of the tree is in force everywhere
+    InForce {
+        /// Version; the latest one by default
+        version: Option<u64>,
+    },
+    /// Prints the state of a node
+    Dump {
+        /// Operators' address of the node
+        addr: SocketAddr,
+    },
+}
--- /dev/null
+++ b/programs/monsoondeal/src/ctl.rs
@@ -0,0 +1,252 @@
+//! The `ctl` commands.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use monsoondeal_config::{Change, ChangeId, Edit, Level, Origin, SETTINGS, Tree};
+use monsoondeal_core::{LeafId, TreeVersion};
+use monsoondeal_node::store::Store;
+use rand::RngExt;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::args::{Act, Ctl};
+use crate::report::{self, Force, Report};
+use crate::submit::{SubmitError, read_tree, submit};
+
+/// Exit code for bad input.
+const BAD_INPUT: u8 = 2;
+/// Exit code for a change that is not known to be in force.
+const NOT_IN_FORCE: u8 = 3;
+
+/// Runs one command.
+pub(crate) fn run(ctl: Ctl) -> ExitCode {
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(act(&ctl)) {
+        Ok(code) => code,
+        Err(SubmitError::Refused(findings)) => {
+            eprintln!("{findings}");
+            ExitCode::from(BAD_INPUT)
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn act(ctl: &Ctl) -> Result<ExitCode, SubmitError> {
+    let store = Store::new(&ctl.store);
+    match &ctl.act {
+        Act::Show { level } => show(ctl, &store, level).await,
+        Act::Tree => {
+            let (tree, _) = read_tree(&store).await?;
+            print_json(&tree);
+            Ok(ExitCode::SUCCESS)
+        }
+        Act::InForce { version } => in_force(ctl, &store, *version).await,
+        Act::Dump { addr } => match report::node_state(*addr).await {
+            Some(state) => {
+                print_json(&state);
+                Ok(ExitCode::SUCCESS)
+            }
+            None => {
+                eprintln!("no answer from {addr}");
+                Ok(ExitCode::FAILURE)
+            }
+        },
+        act => match act.edit() {
+            Some(edit) => change_tree(ctl, &store, edit).await,
+            None => Ok(ExitCode::SUCCESS),
+        },
+    }
+}
+
+impl Act {
+    /// Returns the edit of a command that changes the tree.
+    fn edit(&self) -> Option<Edit> {
+        let edit = match self {
+            Self::CreateOwner { owner } => Edit::CreateOwner {
+                owner: owner.clone(),
+            },
+            Self::CreateService {
+                service,
+                owner,
+                cell,
+            } => Edit::CreateService {
+                service: service.clone(),
+                owner: owner.clone(),
+                cell: cell.clone(),
+            },
+            Self::Set {
+                level,
+                setting,
+                value,
+            } => Edit::Set {
+                level: level.clone(),
+                setting: setting.clone(),
+                value: parse_value(value),
+            },
+            Self::Unset { level, setting } => Edit::Unset {
+                level: level.clone(),
+                setting: setting.clone(),
+            },
+            Self::HandOver { owner, month } => Edit::HandOver {
+                owner: owner.clone(),
+                month: month.clone(),
+            },
+            Self::DomainOut { domain } => Edit::DomainOut {
+                domain: domain.clone(),
+            },
+            Self::DomainIn { domain } => Edit::DomainIn {
+                domain: domain.clone(),
+            },
+            Self::LeafOut { leaf } => Edit::LeafOut {
+                leaf: LeafId(*leaf),
+            },
+            Self::LeafIn { leaf } => Edit::LeafIn {
+                leaf: LeafId(*leaf),
+            },
+            Self::Show { .. } | Self::Tree | Self::InForce { .. } | Self::Dump { .. } => {
+                return None;
+            }
+        };
+        Some(edit)
+    }
+}
+
+async fn change_tree(ctl: &Ctl, store: &Store, edit: Edit) -> Result<ExitCode, SubmitError> {
+    let change = Change {
+        id: ChangeId(rand::rng().random()),
+        actor: ctl.actor.clone(),
+        expects: ctl.expect.map(TreeVersion),
+        edit,
+    };
+    let tree = submit(store, &change).await?;
+    let version = tree.version.0;
+    let Some(seconds) = ctl.wait else {
+        if ctl.json {
+            print_json(&serde_json::json!({ "accepted": version }));
+        } else {
+            println!("accepted as version {version}");
+        }
+        return Ok(ExitCode::SUCCESS);
+    };
+    let report = report::wait(store, &tree, version, Duration::from_secs(seconds)).await;
+    Ok(print_report(ctl, &report))
+}
+
+async fn in_force(ctl: &Ctl, store: &Store, version: Option<u64>) -> Result<ExitCode, SubmitError> {
+    let (tree, _) = read_tree(store).await?;
+    let version = version.unwrap_or(tree.version.0);
+    let limit = Duration::from_secs(ctl.wait.unwrap_or(0));
+    let report = report::wait(store, &tree, version, limit).await;
+    Ok(print_report(ctl, &report))
+}
+
+/// A setting as shown at a level.
+#[derive(Serialize)]
+struct Shown {
+    setting: &'static str,
+    #[serde(flatten)]
+    origin: Option<Origin>,
+}
+
+async fn show(ctl: &Ctl, store: &Store, level: &Level) -> Result<ExitCode, SubmitError> {
+    let (tree, _) = read_tree(store).await?;
+    if !tree.has_level(level) {
+        eprintln!("no level {level}");
+        return Ok(ExitCode::from(BAD_INPUT));
+    }
+    let shown: Vec<Shown> = SETTINGS
+        .iter()
+        .map(|s| Shown {
+            setting: s.name,
+            origin: tree.origin(level, s.name),
+        })
+        .collect();
+    if ctl.json {
+        print_json(&shown);
+        return Ok(ExitCode::SUCCESS);
+    }
+    print_say(&tree);
+    for line in &shown {
+        match &line.origin {
+            Some(Origin {
+                value,
+                level: Some(from),
+            }) if from == level => {
+                println!("{:<14} {value:<10} set here", line.setting);
+            }
+            Some(Origin {
+                value,
+                level: Some(from),
+            }) => {
+                println!("{:<14} {value:<10} inherited from {from}", line.setting);
+            }
+            _ => println!("{:<14} {:<10} built-in default", line.setting, "-"),
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_say(tree: &Tree) {
+    match &tree.say {
+        Some(say) => println!(
+            "final say: {} for {} (term {})",
+            say.owner, say.month, say.term
+        ),
+        None => println!("final say: nobody yet"),
+    }
+}
+
+fn print_report(ctl: &Ctl, report: &Report) -> ExitCode {
+    if ctl.json {
+        print_json(report);
+    } else {
+        let sum = match report.force {
+            Force::Everywhere => "in force everywhere",
+            Force::NotYet => "not in force everywhere yet",
+            Force::NotKnown => "not known to be in force everywhere",
+        };
+        println!("version {}: {sum}", report.version);
+        println!("  have it: {}", report.have.len());
+        report
+            .older
+            .iter()
+            .for_each(|addr| println!("  has an older one: {addr}"));
+        report
+            .silent
+            .iter()
+            .for_each(|addr| println!("  did not answer: {addr}"));
+        report
+            .unread_cells
+            .iter()
+            .for_each(|cell| println!("  roster not read: {cell}"));
+    }
+    match report.force {
+        Force::Everywhere => ExitCode::SUCCESS,
+        Force::NotYet | Force::NotKnown => ExitCode::from(NOT_IN_FORCE),
+    }
+}
+
+fn print_json<T>(value: &T)
+where
+    T: Serialize,
+{
+    println!(
+        "{}",
+        serde_json::to_string_pretty(value).unwrap_or_default()
+    );
+}
+
+/// Reads a value as JSON; anything else is a string.
+fn parse_value(text: &str) -> Value {
+    serde_json::from_str(text).unwrap_or_else(|_| Value::String(text.to_owned()))
+}
--- /dev/null
+++ b/programs/monsoondeal/src/report.rs
@@ -0,0 +1,118 @@
+//! Reports whether a version of the tree is in force.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use compio::time::{sleep, timeout};
+use cyper::Client;
+use futures_util::future::join_all;
+use monsoondeal_config::Tree;
+use monsoondeal_engine::roster_key;
+use monsoondeal_member::Roster;
+use monsoondeal_node::store::Store;
+use serde::Serialize;
+
+/// Longest time for a node to answer.
+const NODE_LIMIT: Duration = Duration::from_secs(1);
+/// Wait between two rounds.
+const ROUND_WAIT: Duration = Duration::from_millis(200);
+
+/// `Force` is how far a version has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Force {
+    /// Every member of every cell has it.
+    Everywhere,
+    /// Some member does not have it yet.
+    NotYet,
+    /// Some member or roster could not be asked.
+    NotKnown,
+}
+
+/// `Report` is what the nodes say of a version.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Report {
+    /// The version asked for.
+    pub(crate) version: u64,
+    /// The sum of it.
+    pub(crate) force: Force,
+    /// Members that have it.
+    pub(crate) have: Vec<SocketAddr>,
+    /// Members with an older one.
+    pub(crate) older: Vec<SocketAddr>,
+    /// Members that did not answer.
+    pub(crate) silent: Vec<SocketAddr>,
+    /// Cells whose roster could not be read.
+    pub(crate) unread_cells: Vec<String>,
+}
+
+/// Asks every member of the cells that the tree names.
+pub(crate) async fn report(store: &Store, tree: &Tree, version: u64) -> Report {
+    let mut cells: Vec<&str> = tree.services.values().map(|s| s.cell.as_str()).collect();
+    cells.sort_unstable();
+    cells.dedup();
+
+    let mut report = Report {
+        version,
+        force: Force::Everywhere,
+        have: Vec::new(),
+        older: Vec::new(),
+        silent: Vec::new(),
+        unread_cells: Vec::new(),
+    };
+    for cell in cells {
+        match read_roster(store, cell).await {
+            Some(roster) => ask_members(&roster, &mut report).await,
+            None => report.unread_cells.push(cell.to_owned()),
+        }
+    }
+    report.force = if !report.older.is_empty() {
+        Force::NotYet
+    } else if !report.silent.is_empty() || !report.unread_cells.is_empty() {
+        Force::NotKnown
+    } else {
+        Force::Everywhere
+    };
+    report
+}
+
+/// Asks until the version is in force everywhere or the time is up.
+pub(crate) async fn wait(store: &Store, tree: &Tree, version: u64, limit: Duration) -> Report {
+    let start = Instant::now();
+    loop {
+        let latest = report(store, tree, version).await;
+        if latest.force == Force::Everywhere || start.elapsed() >= limit {
+            return latest;
+        }
+        sleep(ROUND_WAIT).await;
+    }
+}
+
+/// Reads the state of a node.
+pub(crate) async fn node_state(addr: SocketAddr) -> Option<serde_json::Value> {
+    let asking = async {
+        let request = Client::new().get(format!("http://{addr}/state")).ok()?;
+        request.send().await.ok()?.json().await.ok()
+    };
+    timeout(NODE_LIMIT, asking).await.ok().flatten()
+}
+
+async fn read_roster(store: &Store, cell: &str) -> Option<Roster> {
+    let object = store.read(&roster_key(cell)).await.ok()??;
+    serde_json::from_slice(&object.value).ok()
+}
+
+async fn ask_members(roster: &Roster, report: &mut Report) {
+    let asked = roster
+        .members
+        .iter()
+        .map(|m| async { (m.admin, node_state(m.admin).await) });
+    for (addr, state) in join_all(asked).await {
+        let known = state.as_ref().and_then(|s| s["versions"]["tree"].as_u64());
+        match known {
+            Some(known) if known >= report.version => report.have.push(addr),
+            Some(_) => report.older.push(addr),
+            None => report.silent.push(addr),
+        }
+    }
+}
--- /dev/null
+++ b/programs/monsoondeal/src/submit.rs
@@ -0,0 +1,90 @@
+//! Submits changes to the tree.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::time::sleep;
+use monsoondeal_config::{Change, Tree};
+use monsoondeal_core::Findings;
+use monsoondeal_engine::TREE_KEY;
+use monsoondeal_node::store::{Store, StoreError};
+use quick_error::quick_error;
+
+/// Tries before a change is given up.
+const TRIES: u32 = 8;
+/// Wait between two tries.
+const RETRY_WAIT: Duration = Duration::from_millis(200);
+
+quick_error! {
+    /// `SubmitError` is why a change has no result.
+    #[derive(Debug)]
+    pub enum SubmitError {
+        /// The change is at fault; nothing was written.
+        Refused(findings: Findings) {
+            display("{findings}")
+        }
+        /// The store holds a tree that cannot be read.
+        BadTree(text: String) {
+            display("the tree in the store cannot be read: {text}")
+        }
+        /// The store could not be read, so nothing was written.
+        Unread(error: StoreError) {
+            display("nothing was changed: {error}")
+        }
+        /// A write got no answer, and the store cannot be asked what it holds.
+        Unknown(error: StoreError) {
+            display("it is not known whether the change was accepted: {error}")
+        }
+    }
+}
+
+/// Reads the tree and its version in the store.
+///
+/// # Errors
+///
+/// If the store does not answer or the tree cannot be read.
+pub(crate) async fn read_tree(store: &Store) -> Result<(Tree, Option<u64>), SubmitError> {
+    let Some(object) = store.read(TREE_KEY).await.map_err(SubmitError::Unread)? else {
+        return Ok((Tree::default(), None));
+    };
+    let tree = serde_json::from_slice(&object.value)
+        .map_err(|error| SubmitError::BadTree(error.to_string()))?;
+    Ok((tree, Some(object.version)))
+}
+
+/// Applies a change to the tree in the store and returns the tree that holds it.
+///
+/// The change is applied at most once: after a lost reply the tree tells whether it holds it.
+///
+/// # Errors
+///
+/// If the change is at fault, or the store does not answer.
+pub(crate) async fn submit(store: &Store, change: &Change) -> Result<Tree, SubmitError> {
+    let mut lost: Option<StoreError> = None;
+    for _ in 0..TRIES {
+        let (tree, version) = match read_tree(store).await {
+            Ok(found) => found,
+            Err(SubmitError::Unread(error)) if lost.is_some() => {
+                lost = Some(error);
+                sleep(RETRY_WAIT).await;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        if tree.has_accepted(change.id) {
+            return Ok(tree);
+        }
+        let next = tree.apply(change).map_err(SubmitError::Refused)?;
+        let value = serde_json::to_vec(&next).map_err(|e| SubmitError::BadTree(e.to_string()))?;
+        match store.write(TREE_KEY, version, Bytes::from(value)).await {
+            Ok(_) => return Ok(next),
+            Err(StoreError::Conflict) => {}
+            Err(error) => lost = Some(error),
+        }
+        sleep(RETRY_WAIT).await;
+    }
+    match lost {
+        Some(error) => Err(SubmitError::Unknown(error)),
+        None => Err(SubmitError::Unread(StoreError::Conflict)),
+    }
+}
--- /dev/null
+++ b/programs/standin/src/caller.rs
@@ -0,0 +1,244 @@
+//! Stand-in for callers behind the platform's balancer.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::runtime::spawn;
+use compio::time::{sleep, sleep_until, timeout};
+use cyper::Client;
+use hdrhistogram::Histogram;
+use hyper::StatusCode;
+use serde_json::Value;
+
+/// Longest wait for a response.
+const RESPONSE_LIMIT: Duration = Duration::from_secs(15);
+/// Time between two checks of a node's readiness.
+const READY_PERIOD: Duration = Duration::from_millis(200);
+
+/// Addresses of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeAddrs {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// `LoadOptions` describe a steady load on one request kind.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// Service asked for.
+    pub service: String,
+    /// Request kind.
+    pub kind: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// How long.
+    pub span: Duration,
+    /// Whether each request carries a new idempotency key.
+    pub keyed: bool,
+}
+
+/// `Tally` sums up the ends of requests.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests answered.
+    pub answered: u64,
+    /// Answers that cover the whole partition map.
+    pub full: u64,
+    /// Answers that are not the request's own, mix groups or count wrongly.
+    pub wrong: u64,
+    /// Requests refused as not run.
+    pub not_run: u64,
+    /// Requests of unknown end.
+    pub unknown: u64,
+    /// Requests cut: the connection ended without a response.
+    pub cut: u64,
+    /// Response times of answered requests, in microseconds.
+    pub times: Histogram<u64>,
+    /// Keys of requests with the end "not run".
+    pub refused_keys: Vec<String>,
+    /// Reasons of requests without an answer.
+    pub reasons: std::collections::BTreeMap<String, u64>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        Self {
+            sent: 0,
+            answered: 0,
+            full: 0,
+            wrong: 0,
+            not_run: 0,
+            unknown: 0,
+            cut: 0,
+            times: Histogram::new(3).expect("3 digits are allowed"),
+            refused_keys: Vec::new(),
+            reasons: Default::default(),
+        }
+    }
+}
+
+impl Tally {
+    /// Returns a response time in milliseconds.
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        self.times.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+}
+
+/// `Balancer` sends requests to ready nodes in turn, as the platform's balancer does.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    client: Client,
+    ready: Rc<RefCell<Vec<NodeAddrs>>>,
+    turn: Rc<Cell<usize>>,
+}
+
+impl Balancer {
+    /// Starts a balancer over `nodes`, which checks their readiness from then on.
+    pub async fn start(nodes: Vec<NodeAddrs>) -> Self {
+        let balancer = Self {
+            client: Client::new(),
+            ready: Rc::default(),
+            turn: Rc::default(),
+        };
+        balancer.check(&nodes).await;
+        let checker = balancer.clone();
+        spawn(async move {
+            loop {
+                sleep(READY_PERIOD).await;
+                checker.check(&nodes).await;
+            }
+        })
+        .detach();
+        balancer
+    }
+
+    /// Returns how many nodes are ready.
+    pub fn ready_count(&self) -> usize {
+        self.ready.borrow().len()
+    }
+
+    async fn check(&self, nodes: &[NodeAddrs]) {
+        let checks = nodes.iter().map(|node| async {
+            let url = format!("http://{}/ready", node.admin);
+            let asked = timeout(READY_PERIOD * 2, async {
+                self.client.get(url).ok()?.send().await.ok()
+            });
+            let ready = matches!(asked.await, Ok(Some(r)) if r.status() == StatusCode::OK);
+            ready.then_some(*node)
+        });
+        let found = futures_util::future::join_all(checks).await;
+        *self.ready.borrow_mut() = found.into_iter().flatten().collect();
+    }
+
+    /// Sends one request to the next ready node. Returns the status and the body, or `None` if the
+    /// connection ended without a response.
+    pub async fn send(
+        &self,
+        service: &str,
+        kind: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Option<(StatusCode, Value)> {
+        let node = {
+            let ready = self.ready.borrow();
+            let turn = self.turn.get();
+            self.turn.set(turn + 1);
+            *ready.get(turn % ready.len().max(1))?
+        };
+        self.send_to(node, service, kind, key, body).await
+    }
+
+    /// Sends one request to a given node.
+    pub async fn send_to(
+        &self,
+        node: NodeAddrs,
+        service: &str,
+        kind: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Option<(StatusCode, Value)> {
+        let url = format!("http://{}/v1/{service}/{kind}", node.callers);
+        let mut request = self.client.post(url).ok()?;
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key).ok()?;
+        }
+        let sending = async {
+            let response = request.body(body.to_owned()).send().await.ok()?;
+            let status = response.status();
+            Some((status, response.json().await.ok()?))
+        };
+        timeout(RESPONSE_LIMIT, sending).await.ok().flatten()
+    }
+
+    /// Sends a steady load, whatever the responses, and sums it up.
+    pub async fn load(&self, options: LoadOptions) -> Tally {
+        let tally = Rc::new(RefCell::new(Tally::default()));
+        let count = (options.rate * options.span.as_secs_f64()) as u64;
+        let start = Instant::now();
+        let mut tasks = Vec::new();
+        for i in 0..count {
+            sleep_until(start + Duration::from_secs_f64(i as f64 / options.rate)).await;
+            let (balancer, tally, options) = (self.clone(), tally.clone(), options.clone());
+            tasks.push(spawn(
+                async move { balancer.one(i, &options, &tally).await },
+            ));
+        }
+        for task in tasks {
+            let _ = task.await;
+        }
+        let tally = tally.borrow();
+        tally.clone()
+    }
+
+    async fn one(&self, i: u64, options: &LoadOptions, tally: &RefCell<Tally>) {
+        let body = format!("{}-{}-{i}", options.service, options.kind);
+        let key = options.keyed.then(|| format!("key-{body}"));
+        tally.borrow_mut().sent += 1;
+        let start = Instant::now();
+        let end = self
+            .send(&options.service, &options.kind, key.as_deref(), &body)
+            .await;
+        let elapsed = start.elapsed();
+
+        let mut tally = tally.borrow_mut();
+        let Some((status, value)) = end else {
+            tally.cut += 1;
+            return;
+        };
+        if status != StatusCode::OK {
+            let reason = value["reason"].as_str().unwrap_or("none").to_owned();
+            *tally.reasons.entry(reason).or_default() += 1;
+        }
+        match (status, value["outcome"].as_str()) {
+            (StatusCode::OK, Some("answered")) => {
+                tally.answered += 1;
+                tally.wrong += u64::from(!is_own_answer(&value, &body));
+                tally.full +=
+                    u64::from(value["coverage"]["answered"] == value["coverage"]["total"]);
+                let _ = tally.times.record(elapsed.as_micros() as u64);
+            }
+            (_, Some("not_run")) => {
+                tally.not_run += 1;
+                tally.refused_keys.extend(key);
+            }
+            _ => tally.unknown += 1,
+        }
+    }
+}
+
+/// Returns whether every part echoes the request, comes from its own group, and is counted.
+pub fn is_own_answer(value: &Value, body: &str) -> bool {
+    let Some(parts) = value["parts"].as_array() else {
+        return false;
+    };
+    let own = |part: &Value| {
+        part["data"]["echo"].as_str() == Some(body) && part["data"]["group"] == part["group"]
+    };
+    parts.iter().all(own) && value["coverage"]["answered"].as_u64() == Some(parts.len() as u64)
+}
--- /dev/null
+++ b/programs/standin/src/demo.rs
@@ -0,0 +1,131 @@
+//! The main job on stand-ins, as separate processes.
+
+use std::io;
+use std::time::Duration;
+
+use standin::caller::{Balancer, LoadOptions, Tally};
+use standin::system::{System, demo_services};
+
+/// Nodes of the demo.
+const NODES: usize = 6;
+
+/// Starts the system, prints a few answers, loads it, stops a node under load and sums up.
+pub(crate) async fn run(seconds: u64) -> io::Result<()> {
+    println!("starting a store, 100 leafs and {NODES} nodes as separate processes");
+    let mut system = System::start("demo", vec!["p1", "p2", "p3", "p4"])?;
+    for shape in demo_services() {
+        system.add_service(shape).await?;
+    }
+    for _ in 0..NODES {
+        system.add_node()?;
+    }
+    system.wait_ready().await?;
+    let nodes = system.nodes.iter().map(|n| n.addrs).collect();
+    let balancer = Balancer::start(nodes).await;
+    println!("{} nodes are ready", balancer.ready_count());
+
+    println!("\n$ monsoondeal ctl show /rilegatoria/ordering/order");
+    print!("{}", system.ctl(&["show", "/rilegatoria/ordering/order"])?);
+    println!("\n$ monsoondeal ctl --wait 8 set /rilegatoria/catalogue deadline_ms 400");
+    print!(
+        "{}",
+        system.ctl(&[
+            "--wait",
+            "8",
+            "set",
+            "/rilegatoria/catalogue",
+            "deadline_ms",
+            "400"
+        ])?
+    );
+
+    print_answer(&balancer, "catalogue", "urgent", None).await;
+    print_answer(&balancer, "ordering", "order", Some("leather-1")).await;
+    println!("\nthe same order again, as a balancer's retry:");
+    print_answer(&balancer, "ordering", "order", Some("leather-1")).await;
+
+    println!("\nload for {seconds} s; one node is stopped with SIGTERM in the middle");
+    let span = Duration::from_secs(seconds);
+    let load = |service: &str, kind: &str, rate, keyed| LoadOptions {
+        service: service.to_owned(),
+        kind: kind.to_owned(),
+        rate,
+        span,
+        keyed,
+    };
+    let stop = async {
+        compio::time::sleep(span / 2).await;
+        system.nodes[0].process.signal("TERM")
+    };
+    let (urgent, orders, provenance, stopped) = futures_util::join!(
+        balancer.load(load("catalogue", "urgent", 60.0, false)),
+        balancer.load(load("ordering", "order", 40.0, true)),
+        balancer.load(load("catalogue", "provenance", 60.0, false)),
+        stop,
+    );
+    stopped?;
+    print_tally("catalogue/urgent", &urgent);
+    print_tally("catalogue/provenance", &provenance);
+    print_tally("ordering/order", &orders);
+    print_leafs(&system).await
+}
+
+async fn print_answer(balancer: &Balancer, service: &str, kind: &str, key: Option<&str>) {
+    println!("\nPOST /v1/{service}/{kind}");
+    let Some((status, answer)) = balancer.send(service, kind, key, "endband 1540").await else {
+        println!("  no response");
+        return;
+    };
+    println!("  status {status}, outcome {}", answer["outcome"]);
+    println!(
+        "  snapshot {}, coverage {}",
+        answer["snapshot"], answer["coverage"]
+    );
+    println!("  waited {}", answer["waited"]);
+    println!("  first part {}", answer["parts"][0]);
+}
+
+fn print_tally(name: &str, tally: &Tally) {
+    println!(
+        "{name}: {} sent, {} answered ({} with full coverage, {} wrong), {} not run, {} unknown, \
+         {} cut; p50 {:.1} ms, p99 {:.1} ms, p99.9 {:.1} ms",
+        tally.sent,
+        tally.answered,
+        tally.full,
+        tally.wrong,
+        tally.not_run,
+        tally.unknown,
+        tally.cut,
+        tally.quantile_ms(0.5),
+        tally.quantile_ms(0.99),
+        tally.quantile_ms(0.999),
+    );
+    for (reason, count) in &tally.reasons {
+        println!("  {count} without an answer: {reason}");
+    }
+}
+
+/// Prints the fan-out as the leafs saw it.
+async fn print_leafs(system: &System) -> io::Result<()> {
+    for (at, service) in system.services.iter().enumerate() {
+        let stats = system.leaf_stats(at).await?;
+        let calls: u64 = stats.iter().map(|s| s.calls).sum();
+        let running = stats.iter().map(|s| s.most_running).max().unwrap_or(0);
+        let connections = stats.iter().map(|s| s.most_connections).max().unwrap_or(0);
+        let over: u64 = stats
+            .iter()
+            .map(|s| s.over_slots + s.over_cold + s.over_connections)
+            .sum();
+        let twice = stats
+            .iter()
+            .flat_map(|s| s.runs.values())
+            .filter(|runs| **runs > 1)
+            .count();
+        println!(
+            "leafs of {}: {calls} calls, at most {running} at a time and {connections} connections \
+             on one leaf, {over} times over a limit, {twice} orders run twice",
+            service.shape.name,
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/programs/standin/src/main.rs
@@ -0,0 +1,57 @@
+//! The stand-ins as a program.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use standin::leaf::LeafOptions;
+use standin::{leaf, store};
+
+mod demo;
+
+/// Stand-ins for the systems around the query tier, for tests and the demo.
+#[derive(Debug, Parser)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Serves the platform's object API from memory
+    Store {
+        /// Address to listen on
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+    },
+    /// Serves leafs
+    Leafs(LeafOptions),
+    /// Runs the main job on stand-ins, as separate processes
+    Demo {
+        /// Seconds of load
+        #[arg(long, default_value_t = 8)]
+        seconds: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let result = match Args::parse().command {
+        Command::Store { listen } => runtime.block_on(store::run(listen)),
+        Command::Leafs(options) => runtime.block_on(leaf::run(options)),
+        Command::Demo { seconds } => runtime.block_on(demo::run(seconds)),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/programs/standin/src/process.rs
@@ -0,0 +1,108 @@
+//! Starts the programs of this workspace and ends them by their process id.
+
+use std::env;
+use std::io::{self, BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// `Process` is a started program. It is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    lines: Receiver<String>,
+}
+
+/// Returns the path of a program of this workspace: beside the running one, or one folder up for
+/// tests.
+pub fn program(name: &str) -> PathBuf {
+    let mut dir = env::current_exe().unwrap_or_default();
+    dir.pop();
+    if dir.ends_with("deps") {
+        dir.pop();
+    }
+    dir.join(name)
+}
+
+impl Process {
+    /// Starts a program.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started.
+    pub fn start(name: &str, args: &[&str]) -> io::Result<Self> {
+        let mut child = Command::new(program(name))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let (sender, lines) = channel();
+        if let Some(stdout) = child.stdout.take() {
+            // The pipe is read to its end, or the program would block on a full one.
+            thread::spawn(move || {
+                for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                    let _ = sender.send(line);
+                }
+            });
+        }
+        Ok(Self { child, lines })
+    }
+
+    /// Returns the next line that contains `text`.
+    ///
+    /// # Errors
+    ///
+    /// If none comes in time.
+    pub fn wait_line(&self, text: &str, limit: Duration) -> io::Result<String> {
+        let end = Instant::now() + limit;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            match self.lines.recv_timeout(left) {
+                Ok(line) if line.contains(text) => return Ok(line),
+                Ok(_) => {}
+                Err(_) => return Err(io::Error::other(format!("no line with '{text}' in time"))),
+            }
+        }
+    }
+
+    /// Sends a signal by its name, as in `TERM`.
+    ///
+    /// # Errors
+    ///
+    /// If the signal cannot be sent.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let status = Command::new("kill")
+            .args(["-s", name, &self.child.id().to_string()])
+            .status()?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(io::Error::other("kill failed"))
+        }
+    }
+
+    /// Waits for the end and returns whether the exit code was 0.
+    ///
+    /// # Errors
+    ///
+    /// If the program does not end in time.
+    pub fn wait_end(&mut self, limit: Duration) -> io::Result<bool> {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status.success());
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        Err(io::Error::other("program did not end in time"))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/programs/standin/src/serve.rs
@@ -0,0 +1,83 @@
+//! A small HTTP server for the stand-ins.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::HyperStream;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use serde::Serialize;
+
+/// Body of responses.
+pub type Body = Full<Bytes>;
+
+/// Accepts connections and serves each with a handler of its own, made by `connect`.
+pub async fn listen<C, F, R>(listener: TcpListener, connect: C)
+where
+    C: Fn() -> F + 'static,
+    F: Fn(Request<Incoming>) -> R + 'static,
+    R: Future<Output = Option<Response<Body>>> + 'static,
+{
+    let connect = Rc::new(connect);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let handler = connect();
+        compio::runtime::spawn(serve(stream, handler)).detach();
+    }
+}
+
+/// Serves one connection. A handler that returns nothing cuts the connection.
+async fn serve<F, R>(stream: TcpStream, handler: F)
+where
+    F: Fn(Request<Incoming>) -> R + 'static,
+    R: Future<Output = Option<Response<Body>>> + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let response = handler(request);
+        async move { response.await.ok_or(Cut) }
+    });
+    let connection = http1::Builder::new().serve_connection(HyperStream::new(stream), service);
+    let _ = connection.await;
+}
+
+/// Error that makes the server cut a connection.
+#[derive(Debug)]
+struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("connection cut on purpose")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+impl From<Infallible> for Cut {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// Returns a response without a body.
+pub fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns a JSON response.
+pub fn json<T>(value: &T) -> Response<Body>
+where
+    T: Serialize,
+{
+    Response::new(Full::from(serde_json::to_vec(value).unwrap_or_default()))
+}
--- /dev/null
+++ b/programs/standin/src/store.rs
@@ -0,0 +1,192 @@
+//! Stand-in for the platform's object API, in memory.
+//!
+//! `GET`, `PUT` and waiting `GET` on `/v1/objects/{key}` as the daemon uses them; `POST /control` sets
+//! faults and `GET /stats` counts calls.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use compio::time::{sleep, timeout};
+use futures_channel::oneshot;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{ETAG, IF_MATCH};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::serve::{self, Body, json, status};
+
+/// `Faults` are the switches of the store.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Cut every connection without an answer.
+    pub down: bool,
+    /// Wait before every answer, in milliseconds.
+    pub slow_ms: u64,
+    /// Writes that take effect but get no answer.
+    pub lose_replies: u32,
+}
+
+/// `Stats` count the calls.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Stats {
+    /// Plain reads.
+    pub reads: u64,
+    /// Writes, refused ones included.
+    pub writes: u64,
+    /// Waiting reads.
+    pub watches: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: BTreeMap<String, (u64, Bytes)>,
+    revision: u64,
+    waiting: Vec<oneshot::Sender<()>>,
+    faults: Faults,
+    stats: Stats,
+}
+
+type Shared = Rc<RefCell<State>>;
+
+/// Serves until the process ends; prints the address first.
+///
+/// # Errors
+///
+/// If the address cannot be bound.
+pub async fn run(listen: SocketAddr) -> io::Result<()> {
+    let listener = TcpListener::bind(listen).await?;
+    println!("{}", listener.local_addr()?);
+    let state = Shared::default();
+    serve::listen(listener, move || {
+        let state = state.clone();
+        move |request| handle(request, state.clone())
+    })
+    .await;
+    Ok(())
+}
+
+async fn handle(request: Request<Incoming>, state: Shared) -> Option<Response<Body>> {
+    let path = request.uri().path().to_owned();
+    match path.as_str() {
+        "/control" => {
+            let body = request.into_body().collect().await.ok()?.to_bytes();
+            let Ok(faults) = serde_json::from_slice(&body) else {
+                return Some(status(StatusCode::BAD_REQUEST));
+            };
+            state.borrow_mut().faults = faults;
+            return Some(status(StatusCode::OK));
+        }
+        "/stats" => return Some(json(&state.borrow().stats)),
+        _ => {}
+    }
+    let Some(key) = path.strip_prefix("/v1/objects/").map(str::to_owned) else {
+        return Some(status(StatusCode::NOT_FOUND));
+    };
+    let faults = state.borrow().faults;
+    if faults.down {
+        return None;
+    }
+    sleep(Duration::from_millis(faults.slow_ms)).await;
+    match *request.method() {
+        Method::GET => get(&key, request.uri().query().unwrap_or(""), &state).await,
+        Method::PUT => put(&key, request, &state).await,
+        _ => Some(status(StatusCode::METHOD_NOT_ALLOWED)),
+    }
+}
+
+async fn get(key: &str, query: &str, state: &Shared) -> Option<Response<Body>> {
+    let field = |name| {
+        let mut fields = query.split('&').filter_map(|f| f.split_once('='));
+        fields
+            .find(|(n, _)| *n == name)
+            .and_then(|(_, v)| v.parse::<u64>().ok())
+    };
+    let (Some(after), Some(wait)) = (field("after"), field("wait_ms")) else {
+        state.borrow_mut().stats.reads += 1;
+        return Some(present(key, state));
+    };
+    state.borrow_mut().stats.watches += 1;
+    let end = Instant::now() + Duration::from_millis(wait);
+    while version(key, state) == after {
+        let (sender, receiver) = oneshot::channel();
+        state.borrow_mut().waiting.push(sender);
+        let left = end.saturating_duration_since(Instant::now());
+        if timeout(left, receiver).await.is_err() {
+            return Some(status(StatusCode::NOT_MODIFIED));
+        }
+        // An outage ends the watches that wait.
+        if state.borrow().faults.down {
+            return None;
+        }
+    }
+    Some(present(key, state))
+}
+
+async fn put(key: &str, request: Request<Incoming>, state: &Shared) -> Option<Response<Body>> {
+    let expects = expected_version(request.headers());
+    let value = request.into_body().collect().await.ok()?.to_bytes();
+    let mut state = state.borrow_mut();
+    state.stats.writes += 1;
+    let present = state.objects.get(key).map_or(0, |(version, _)| *version);
+    let Some(expects) = expects else {
+        return Some(status(StatusCode::BAD_REQUEST));
+    };
+    if present != expects {
+        return Some(status(StatusCode::PRECONDITION_FAILED));
+    }
+    state.revision += 1;
+    let version = state.revision;
+    state.objects.insert(key.to_owned(), (version, value));
+    for waiting in state.waiting.drain(..) {
+        let _ = waiting.send(());
+    }
+    if state.faults.lose_replies > 0 {
+        state.faults.lose_replies -= 1;
+        return None;
+    }
+    let mut response = status(StatusCode::OK);
+    set_tag(&mut response, version);
+    Some(response)
+}
+
+/// Returns the version that a write expects, zero for an absent object.
+fn expected_version(headers: &HeaderMap) -> Option<u64> {
+    match headers.get(IF_MATCH) {
+        Some(tag) => tag.to_str().ok()?.trim_matches('"').parse().ok(),
+        None => headers
+            .contains_key(hyper::header::IF_NONE_MATCH)
+            .then_some(0),
+    }
+}
+
+fn version(key: &str, state: &Shared) -> u64 {
+    state
+        .borrow()
+        .objects
+        .get(key)
+        .map_or(0, |(version, _)| *version)
+}
+
+fn present(key: &str, state: &Shared) -> Response<Body> {
+    let state = state.borrow();
+    let Some((version, value)) = state.objects.get(key) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let mut response = Response::new(Full::new(value.clone()));
+    set_tag(&mut response, *version);
+    response
+}
+
+fn set_tag(response: &mut Response<Body>, version: u64) {
+    if let Ok(tag) = format!("\"{version}\"").parse() {
+        response.headers_mut().insert(ETAG, tag);
+    }
+}
--- /dev/null
+++ b/programs/standin/src/system.rs
@@ -0,0 +1,407 @@
+//! A whole system of separate processes on loopback: store, leafs and nodes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use cyper::Client;
+use monsoondeal_config::{LeafSpec, ServiceMap};
+use monsoondeal_core::{IndexVersion, LeafId, MapVersion, Snapshot};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::caller::NodeAddrs;
+use crate::leaf::{LeafAddrs, LeafControl, LeafStats};
+use crate::process::{Process, program};
+use crate::store::{Faults, Stats};
+
+/// Longest wait for a process to come up.
+const START_LIMIT: Duration = Duration::from_secs(10);
+/// Identities of a service's leafs start at multiples of this.
+const LEAF_ID_STEP: u64 = 1_000;
+
+/// `ServiceShape` describes a service and its leafs.
+#[derive(Clone, Debug)]
+pub struct ServiceShape {
+    /// Name.
+    pub name: &'static str,
+    /// Owner.
+    pub owner: &'static str,
+    /// Groups of the partition map.
+    pub groups: usize,
+    /// Leafs a group.
+    pub replicas: usize,
+    /// Options of the leaf process.
+    pub leaf_args: Vec<String>,
+    /// Settings of the service, as name and value.
+    pub settings: Vec<(&'static str, &'static str)>,
+    /// Settings of kinds, as kind, name and value.
+    pub kinds: Vec<(&'static str, &'static str, &'static str)>,
+}
+
+/// A service and the process of its leafs.
+#[derive(Debug)]
+pub struct RunningService {
+    /// Its shape.
+    pub shape: ServiceShape,
+    /// Its partition map.
+    pub map: ServiceMap,
+    addrs: LeafAddrs,
+    _process: Process,
+}
+
+/// A node process.
+#[derive(Debug)]
+pub struct RunningNode {
+    /// Its addresses.
+    pub addrs: NodeAddrs,
+    /// Its peer address.
+    pub peer: SocketAddr,
+    /// The process.
+    pub process: Process,
+}
+
+/// `System` is everything that runs. All processes end when it is dropped.
+#[derive(Debug)]
+pub struct System {
+    /// Base address of the store.
+    pub store_url: String,
+    /// Failure domains that nodes and leafs are spread over.
+    pub domains: Vec<&'static str>,
+    /// Services in order.
+    pub services: Vec<RunningService>,
+    /// Nodes in order.
+    pub nodes: Vec<RunningNode>,
+    /// Folder of the nodes' settings files.
+    dir: std::path::PathBuf,
+    client: Client,
+    _store: Process,
+    started: usize,
+}
+
+impl System {
+    /// Starts a store.
+    ///
+    /// # Errors
+    ///
+    /// If it does not come up.
+    pub fn start(name: &str, domains: Vec<&'static str>) -> io::Result<Self> {
+        let store = Process::start("standin", &["store"])?;
+        let addr = store.wait_line("127.0.0.1", START_LIMIT)?;
+        let dir = std::env::temp_dir().join(format!("monsoondeal-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir)?;
+        Ok(Self {
+            store_url: format!("http://{addr}"),
+            domains,
+            services: Vec::new(),
+            nodes: Vec::new(),
+            dir,
+            client: Client::new(),
+            _store: store,
+            started: 0,
+        })
+    }
+
+    /// Starts a service's leafs, and creates its owner, itself, its settings and its partition map.
+    ///
+    /// # Errors
+    ///
+    /// If any of that fails.
+    pub async fn add_service(&mut self, shape: ServiceShape) -> io::Result<()> {
+        let count = (shape.groups * shape.replicas).to_string();
+        let mut args = vec!["leafs", "--count", &count];
+        args.extend(shape.leaf_args.iter().map(String::as_str));
+        let process = Process::start("standin", &args)?;
+        let line = process.wait_line("control", START_LIMIT)?;
+        let addrs: LeafAddrs = serde_json::from_str(&line)?;
+        let map = self.first_map(&shape, &addrs);
+        self.put(&format!("map/{}", shape.name), &map).await?;
+
+        let known = self.services.iter().any(|s| s.shape.owner == shape.owner);
+        if !known {
+            self.ctl(&["create-owner", shape.owner])?;
+        }
+        self.ctl(&["create-service", shape.name, "--owner", shape.owner])?;
+        let level = format!("/{}/{}", shape.owner, shape.name);
+        for (setting, value) in &shape.settings {
+            self.ctl(&["set", &level, setting, value])?;
+        }
+        for (kind, setting, value) in &shape.kinds {
+            self.ctl(&["set", &format!("{level}/{kind}"), setting, value])?;
+        }
+        self.services.push(RunningService {
+            shape,
+            map,
+            addrs,
+            _process: process,
+        });
+        Ok(())
+    }
+
+    /// Starts a node and returns its position.
+    ///
+    /// # Errors
+    ///
+    /// If it does not come up.
+    pub fn add_node(&mut self) -> io::Result<usize> {
+        let domain = self.domains[self.started % self.domains.len()];
+        let seeds: Vec<SocketAddr> = self.nodes.iter().map(|n| n.peer).collect();
+        let settings = serde_json::json!({
+            "cell": "main",
+            "domain": domain,
+            "listen": {
+                "callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+            },
+            "store": self.store_url,
+            "seeds": seeds,
+            "heartbeat_ms": 200,
+            "hold_ms": 1000,
+        });
+        let file = self.dir.join(format!("node-{}.jsonc", self.started));
+        self.started += 1;
+        std::fs::write(&file, format!("// Written for a test run.\n{settings:#}\n"))?;
+        let file = file.display().to_string();
+        let process = Process::start("monsoondeal", &["node", "--config", &file])?;
+        let line: Value = serde_json::from_str(&process.wait_line("listening", START_LIMIT)?)?;
+        let addr = |name: &str| {
+            let text = find_text(&line, name).unwrap_or_default();
+            text.parse::<SocketAddr>().map_err(io::Error::other)
+        };
+        let addrs = NodeAddrs {
+            callers: addr("callers")?,
+            admin: addr("admin")?,
+        };
+        self.nodes.push(RunningNode {
+            addrs,
+            peer: addr("peers")?,
+            process,
+        });
+        Ok(self.nodes.len() - 1)
+    }
+
+    /// Waits until every node is ready and the roster lists them all, settled.
+    ///
+    /// # Errors
+    ///
+    /// If that takes too long.
+    pub async fn wait_ready(&self) -> io::Result<()> {
+        let end = Instant::now() + START_LIMIT * 3;
+        while Instant::now() < end {
+            let mut ready = 0;
+            for node in &self.nodes {
+                let state = self.node_state(node.addrs.admin).await.unwrap_or_default();
+                let members = state["roster"]["members"].as_array().map_or(0, Vec::len);
+                let seats = state["roster"]["seats"].as_array().map_or(0, Vec::len);
+                let wanted: usize = self.services.iter().map(|s| s.map.leafs().count()).sum();
+                let settled = state["versions"]["settled"].as_bool() == Some(true);
+                let confirmed = state["confirmed"].as_bool() == Some(true);
+                let all = members == self.nodes.len() && seats == wanted;
+                ready += usize::from(all && settled && confirmed);
+            }
+            if ready == self.nodes.len() {
+                return Ok(());
+            }
+            compio::time::sleep(Duration::from_millis(100)).await;
+        }
+        Err(io::Error::other("nodes did not become ready in time"))
+    }
+
+    /// Returns the state dump of a node.
+    pub async fn node_state(&self, admin: SocketAddr) -> Option<Value> {
+        self.get(&format!("http://{admin}/state")).await.ok()
+    }
+
+    /// Runs an operators' command and returns what it prints.
+    ///
+    /// # Errors
+    ///
+    /// If its exit code is not 0.
+    pub fn ctl(&self, args: &[&str]) -> io::Result<String> {
+        let (code, text) = self.ctl_code(args)?;
+        if code == Some(0) {
+            Ok(text)
+        } else {
+            Err(io::Error::other(format!("ctl {args:?}: {text}")))
+        }
+    }
+
+    /// Runs an operators' command and returns its exit code and what it prints.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started.
+    pub fn ctl_code(&self, args: &[&str]) -> io::Result<(Option<i32>, String)> {
+        let output = Command::new(program("monsoondeal"))
+            .args(["ctl", "--store", &self.store_url])
+            .args(args)
+            .output()?;
+        let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+        text.push_str(&String::from_utf8_lossy(&output.stderr));
+        Ok((output.status.code(), text))
+    }
+
+    /// Sets the faults of the store.
+    ///
+    /// # Errors
+    ///
+    /// If the stand-in does not answer.
+    pub async fn set_store(&self, faults: Faults) -> io::Result<()> {
+        self.post(&format!("{}/control", self.store_url), &faults)
+            .await
+    }
+
+    /// Returns the call counts of the store.
+    ///
+    /// # Errors
+    ///
+    /// If the stand-in does not answer.
+    pub async fn store_stats(&self) -> io::Result<Stats> {
+        self.get(&format!("{}/stats", self.store_url)).await
+    }
+
+    /// Changes leafs of a service.
+    ///
+    /// # Errors
+    ///
+    /// If the stand-in does not answer.
+    pub async fn control_leafs(&self, service: usize, control: &LeafControl) -> io::Result<()> {
+        let addr = self.services[service].addrs.control;
+        self.post(&format!("http://{addr}/control"), control).await
+    }
+
+    /// Returns what the leafs of a service have seen.
+    ///
+    /// # Errors
+    ///
+    /// If the stand-in does not answer.
+    pub async fn leaf_stats(&self, service: usize) -> io::Result<Vec<LeafStats>> {
+        let addr = self.services[service].addrs.control;
+        self.get(&format!("http://{addr}/stats")).await
+    }
+
+    /// Writes a partition map over the present one.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not answer.
+    pub async fn publish_map(&self, map: &ServiceMap) -> io::Result<()> {
+        self.put(&format!("map/{}", map.service), map).await
+    }
+
+    fn first_map(&self, shape: &ServiceShape, addrs: &LeafAddrs) -> ServiceMap {
+        let base = (self.services.len() as u64 + 1) * LEAF_ID_STEP;
+        let leaf = |at: usize, replica: usize| LeafSpec {
+            leaf: LeafId(base + at as u64),
+            addr: addrs.leafs[at],
+            domain: self.domains[(at / shape.replicas + replica) % self.domains.len()].to_owned(),
+        };
+        let group = |g: usize| {
+            (0..shape.replicas)
+                .map(|r| leaf(g * shape.replicas + r, r))
+                .collect()
+        };
+        ServiceMap {
+            service: shape.name.to_owned(),
+            snapshot: Snapshot {
+                index: IndexVersion(1),
+                map: MapVersion(1),
+            },
+            groups: (0..shape.groups).map(group).collect(),
+        }
+    }
+
+    async fn put<T>(&self, key: &str, value: &T) -> io::Result<()>
+    where
+        T: Serialize,
+    {
+        let url = format!("{}/v1/objects/{key}", self.store_url);
+        let present = self.client.get(&url).map_err(io::Error::other)?;
+        let present = present.send().await.map_err(io::Error::other)?;
+        let tag = present.headers().get("etag").cloned();
+        let request = self.client.put(&url).map_err(io::Error::other)?;
+        let request = match tag {
+            Some(tag) => request.header("if-match", tag),
+            None => request.header("if-none-match", "*"),
+        };
+        let request = request
+            .map_err(io::Error::other)?
+            .body(serde_json::to_vec(value)?);
+        let response = request.send().await.map_err(io::Error::other)?;
+        if response.status().is_success() {
+            return Ok(());
+        }
+        Err(io::Error::other(format!(
+            "write of '{key}': {}",
+            response.status()
+        )))
+    }
+
+    async fn post<T>(&self, url: &str, value: &T) -> io::Result<()>
+    where
+        T: Serialize,
+    {
+        let request = self.client.post(url).map_err(io::Error::other)?;
+        let request = request.body(serde_json::to_vec(value)?);
+        request.send().await.map_err(io::Error::other)?;
+        Ok(())
+    }
+
+    async fn get<T>(&self, url: &str) -> io::Result<T>
+    where
+        T: DeserializeOwned,
+    {
+        let request = self.client.get(url).map_err(io::Error::other)?;
+        let response = request.send().await.map_err(io::Error::other)?;
+        response.json().await.map_err(io::Error::other)
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Finds a text field anywhere in a log line.
+fn find_text<'a>(value: &'a Value, name: &str) -> Option<&'a str> {
+    match value {
+        Value::Object(fields) => match fields.get(name) {
+            Some(Value::String(text)) => Some(text),
+            _ => fields.values().find_map(|v| find_text(v, name)),
+        },
+        _ => None,
+    }
+}
+
+/// Returns the catalogue and ordering services of the demo, at their present sizes.
+pub fn demo_services() -> Vec<ServiceShape> {
+    let args = |text: &str| text.split(' ').map(str::to_owned).collect();
+    vec![
+        ServiceShape {
+            name: "catalogue",
+            owner: "rilegatoria",
+            groups: 20,
+            replicas: 2,
+            leaf_args: args("--slots 3 --connections 30 --connect-ms 6 --service-us 1500 --seed 7"),
+            settings: vec![("slots", "3"), ("deadline_ms", "500")],
+            kinds: vec![
+                ("urgent", "priority", "first"),
+                ("provenance", "weight", "2"),
+            ],
+        },
+        ServiceShape {
+            name: "ordering",
+            owner: "rilegatoria",
+            groups: 30,
+            replicas: 2,
+            leaf_args: args("--slots 3 --connections 30 --connect-ms 6 --service-us 1500 --seed 9"),
+            settings: vec![("slots", "3"), ("deadline_ms", "500")],
+            kinds: vec![
+                ("order", "repeatable", "false"),
+                ("order", "priority", "first"),
+            ],
+        },
+    ]
+}
