Hand leaf warmth and idempotency keys over on planned moves, block SIGTERM early

A new holder no longer treats a leaf as cold that its former holder knew as warm, and a holder closes its connections to a leaf that has moved.

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -179,7 +179,7 @@
             },
         );
         self.send_beat(addr, now, out);
-        self.send_keys(addr, out);
+        self.send_moves(addr, out);
     }
 
     pub(crate) fn on_peer_down(&mut self, addr: SocketAddr, now: Time, out: &mut Vec<Output>) {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -229,7 +229,10 @@
             Message::Beat { sent, .. } => self.on_beat(link, sent, now, out),
             Message::Fetch => self.send_state(link, out),
             Message::State(state) => self.on_state(*state, now, out),
-            Message::Keys(keys) => self.on_keys(*keys, now),
+            Message::Keys(keys) => self.on_move(keys.epoch, Message::Keys(keys), now),
+            Message::Warm { epoch, leafs } => {
+                self.on_move(epoch, Message::Warm { epoch, leafs }, now);
+            }
             Message::Call(call) => self.on_call(Origin::Link(link), *call, now, out),
             Message::Cancel(call) => self.on_cancel(Origin::Link(link), call),
             Message::Order(order) => self.on_order(Origin::Link(link), *order, now, out),
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -1,6 +1,7 @@
 //! Calls to leafs whose lease this node holds.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use monsoondeal_config::LeafLimits;
@@ -143,17 +144,49 @@
         self.set_gate_timer(leaf);
     }
 
-    /// Gives up the gates of leafs that are placed elsewhere now.
+    /// Gives up the gates of leafs that are placed elsewhere now, and tells the new holders which of
+    /// them are warm.
     pub(crate) fn retire_gates(&mut self, out: &mut Vec<Output>) {
         let me = self.settings.me.node;
         let seats = &self.seats.leafs;
-        let gates = self.holder.gates.keys().copied();
-        let lost: Vec<LeafId> = gates
-            .filter(|leaf| seats.holder(*leaf) != Some(me))
+        let gates = self.holder.gates.iter();
+        let lost: Vec<(LeafId, Option<Duration>)> = gates
+            .filter(|(leaf, _)| seats.holder(**leaf) != Some(me))
+            .map(|(leaf, gate)| (*leaf, gate.warmth()))
             .collect();
-        for leaf in lost {
+        let mut warm: HashMap<SocketAddr, Vec<(LeafId, Duration)>> = HashMap::new();
+        for (leaf, warmth) in lost {
+            let addr = self
+                .seats
+                .leafs
+                .holder(leaf)
+                .and_then(|node| self.addr_of(node));
+            if let (Some(addr), Some(service)) = (addr, warmth) {
+                warm.entry(addr).or_default().push((leaf, service));
+            }
             self.drain_gate(leaf, out);
         }
+        let epoch = self.cell.roster().epoch;
+        for (addr, leafs) in warm {
+            self.send_when_up(addr, epoch, Message::Warm { epoch, leafs }, out);
+        }
+    }
+
+    /// Takes over what the former holders of leafs knew of them.
+    pub(crate) fn on_warm(&mut self, leafs: Vec<(LeafId, Duration)>) {
+        let me = self.settings.me.node;
+        for (leaf, service) in leafs {
+            if self.seats.leafs.holder(leaf) != Some(me) {
+                continue;
+            }
+            let settings = self.gate_settings(leaf);
+            let gate = self
+                .holder
+                .gates
+                .entry(leaf)
+                .or_insert_with(|| Gate::new(settings));
+            gate.presume_warm(service);
+        }
     }
 
     /// Looks at all gates where calls wait, as after a lease has been gained.
@@ -272,6 +305,7 @@
         let placed_here = self.seats.leafs.holder(leaf) == Some(self.settings.me.node);
         if gate.running() == 0 && !placed_here {
             self.holder.gates.remove(&leaf);
+            out.push(Output::CloseLeaf(leaf));
         }
         for id in refused {
             self.holder.waiting.remove(&id);
--- a/crates/engine/src/home.rs
+++ b/crates/engine/src/home.rs
@@ -36,10 +36,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Home {
     tables: HashMap<u32, Once<OrderAnswer>>,
-    /// Keys that arrived before the roster that moves them here.
-    early: Vec<Keys>,
-    /// Keys that wait for the connection to their new home.
-    outgoing: Vec<(SocketAddr, Keys)>,
+    /// Messages on moves that arrived before the roster that causes them.
+    early: Vec<(Epoch, Message)>,
+    /// Messages on moves that wait for the connection to the receiver.
+    outgoing: Vec<(SocketAddr, Epoch, Message)>,
     /// Latest epoch for which the tables are in place.
     epoch: Epoch,
 }
@@ -171,43 +171,64 @@
                     place,
                     handover: table.hand_over(now),
                 };
-                self.home.outgoing.push((addr, keys));
+                self.send_when_up(addr, epoch, Message::Keys(Box::new(keys)), out);
             }
         }
-        for addr in self.peers_up() {
-            self.send_keys(addr, out);
-        }
         self.home.epoch = epoch;
-        let early = std::mem::take(&mut self.home.early);
-        for keys in early {
-            self.on_keys(keys, now);
+        for (epoch, message) in std::mem::take(&mut self.home.early) {
+            self.on_move(epoch, message, now);
         }
     }
 
-    /// Sends the keys that wait for a connection. Their ages have grown meanwhile, so that the
-    /// receiver remembers them longer than it needs to.
-    pub(crate) fn send_keys(&mut self, addr: SocketAddr, out: &mut Vec<Output>) {
-        let epoch = self.cell.roster().epoch;
+    /// Sends a message on a move now, or once the receiver is connected. The ages of keys grow
+    /// meanwhile, so that the receiver remembers them longer than it needs to.
+    pub(crate) fn send_when_up(
+        &mut self,
+        addr: SocketAddr,
+        epoch: Epoch,
+        message: Message,
+        out: &mut Vec<Output>,
+    ) {
+        self.home.outgoing.push((addr, epoch, message));
+        if self.peers.get(&addr).is_some_and(|peer| peer.up) {
+            self.send_moves(addr, out);
+        }
+    }
+
+    /// Sends the messages on moves that wait for a connection; those of older epochs are dropped.
+    pub(crate) fn send_moves(&mut self, addr: SocketAddr, out: &mut Vec<Output>) {
+        let present = self.cell.roster().epoch;
         let outgoing = std::mem::take(&mut self.home.outgoing);
-        let current = outgoing.into_iter().filter(|(_, keys)| keys.epoch == epoch);
-        let (due, rest): (Vec<_>, Vec<_>) = current.partition(|(to, _)| *to == addr);
-        self.home.outgoing = rest;
-        for (_, keys) in due {
+        for (to, epoch, message) in outgoing {
+            if epoch != present {
+                continue;
+            }
+            if to != addr {
+                self.home.outgoing.push((to, epoch, message));
+                continue;
+            }
             self.counts.control_messages += 1;
-            out.push(Output::ToPeer(addr, Message::Keys(Box::new(keys))));
+            out.push(Output::ToPeer(addr, message));
         }
     }
 
-    pub(crate) fn on_keys(&mut self, keys: Keys, now: Time) {
-        if keys.epoch > self.home.epoch {
-            self.home.early.push(keys);
+    /// Handles a message on a move in the epoch that causes it, waiting for that epoch if need be.
+    pub(crate) fn on_move(&mut self, epoch: Epoch, message: Message, now: Time) {
+        if epoch > self.home.epoch {
+            self.home.early.push((epoch, message));
             return;
         }
-        if keys.epoch < self.home.epoch {
+        if epoch < self.home.epoch {
             return;
         }
-        if let Some(table) = self.home.tables.get_mut(&keys.place) {
-            table.take_over(keys.handover, now);
+        match message {
+            Message::Keys(keys) => {
+                if let Some(table) = self.home.tables.get_mut(&keys.place) {
+                    table.take_over(keys.handover, now);
+                }
+            }
+            Message::Warm { leafs, .. } => self.on_warm(leafs),
+            _ => {}
         }
     }
 
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -170,6 +170,8 @@
     ToLink(LinkId, Message),
     /// Call a leaf.
     CallLeaf(Box<LeafCall>),
+    /// Close the connections to a leaf once its calls have ended.
+    CloseLeaf(LeafId),
     /// Watch exactly these objects of the store.
     Watch(Vec<String>),
     /// Read an object.
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -5,6 +5,7 @@
 //! are serialized by hand as plain sequences.
 
 use std::fmt;
+use std::time::Duration;
 
 use bytes::Bytes;
 use monsoondeal_config::{ServiceMap, Tree};
@@ -51,6 +52,13 @@
     State(Box<State>),
     /// Idempotency keys of a place whose home has moved.
     Keys(Box<Keys>),
+    /// Leafs that have moved to the receiver and were warm, with their service time.
+    Warm {
+        /// Epoch of the move.
+        epoch: Epoch,
+        /// The leafs.
+        leafs: Vec<(LeafId, Duration)>,
+    },
     /// A call to a leaf that the receiver holds.
     Call(Box<Call>),
     /// The answer to a call is no longer wanted.
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -145,6 +145,20 @@
         matches!(self.heat, Heat::Cold { .. })
     }
 
+    /// Returns the warm service time, if the leaf is presumed warm.
+    pub fn warmth(&self) -> Option<Duration> {
+        (!self.is_cold()).then(|| Duration::from_secs_f64(self.service))
+    }
+
+    /// Takes over what the former holder of the leaf knew: that it was warm a moment ago. Answers
+    /// seen here go before.
+    pub fn presume_warm(&mut self, service: Duration) {
+        if self.heat == (Heat::Cold { good: 0 }) && self.running == 0 {
+            self.heat = Heat::Warm;
+            self.service = service.as_secs_f64();
+        }
+    }
+
     /// Replaces the limits; calls under way go on.
     pub fn set_settings(&mut self, settings: GateSettings) {
         self.settings = settings;
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -46,8 +46,10 @@
 pub async fn run(settings: NodeSettings) -> Result<(), NodeError> {
     let clock = Clock::start();
     let (events, inbox) = mpsc::unbounded();
-    // First of all, so that later threads inherit the signal mask.
+    // The signal must be blocked before any other thread starts, since threads inherit the mask; the
+    // task blocks it when it first runs.
     spawn(wait_for_stop(events.clone())).detach();
+    sleep(Duration::from_millis(1)).await;
 
     let callers = bind("callers", settings.callers).await?;
     let peers = bind("peers", settings.peers).await?;
@@ -288,6 +290,7 @@
                 }
             }
             Output::CallLeaf(call) => self.call_leaf(*call),
+            Output::CloseLeaf(leaf) => self.leafs.retain(|(id, _), _| *id != leaf),
             Output::Watch(keys) => self.set_watches(&keys),
             Output::Read(key) => {
                 let (store, events) = (self.store.clone(), self.events.clone());
--- a/crates/node/src/leafs.rs
+++ b/crates/node/src/leafs.rs
@@ -49,6 +49,7 @@
             }
         }
     }
+    drop(idle);
     // Calls that are under way are waited for, so that their ends are reported.
     while let Some((_, ticket, end)) = running.next().await {
         send(&events, Event::Input(Input::LeafDone(ticket, end)));
