--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -279,7 +279,7 @@
 
     fn check_request(&self, request: &Request) -> Result<Resolved, Response> {
         let Some(tree) = &self.config.tree else {
-            return Err(Response::NotRun(Refusal::Unreachable));
+            return Err(unconfigured(request));
         };
         let Some(service) = tree.services.get(&request.service) else {
             let text = format!("no service '{}'", request.service);
@@ -292,7 +292,7 @@
             return Err(Response::Fault(Fault::OtherCell(findings)));
         }
         let Some(resolved) = tree.resolve(&request.service, &request.kind) else {
-            return Err(Response::NotRun(Refusal::Unreachable));
+            return Err(unconfigured(request));
         };
         let mut findings = Findings::default();
         if !monsoondeal_config::tree::is_name(&request.kind) {
@@ -608,6 +608,15 @@
     }
 }
 
+/// Returns the response of a node that does not know yet how to treat a request. This copy of it was
+/// not run, but with an idempotency key another one may have been.
+fn unconfigured(request: &Request) -> Response {
+    match request.key {
+        Some(_) => Response::Unknown(Doubt::KeysUnreachable),
+        None => Response::NotRun(Refusal::Unreachable),
+    }
+}
+
 /// Returns the response for the end of a query: without any part it is no answer.
 fn response(answer: Answer<Bytes>) -> Response {
     if answer.coverage.answered > 0 || answer.lost.is_empty() {
--- /dev/null
+++ b/crates/engine/tests/at_most_once.rs
@@ -0,0 +1,320 @@
+//! Requests that may not be repeated run at most once, and "not run" is true, whatever fails.
+
+mod net;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use monsoondeal_core::LeafId;
+use monsoondeal_engine::io::{Response, Token};
+use net::{LeafMode, Net, Options};
+use rand::RngExt;
+use rstest::rstest;
+
+/// Keys in a run.
+const KEYS: usize = 120;
+
+/// What callers were told of each key.
+#[derive(Debug, Default)]
+struct Told {
+    answered: usize,
+    not_run: usize,
+    unknown: usize,
+}
+
+/// Checks every key against what the leafs ran, and returns the sums.
+fn check_keys(net: &Net, sent: &BTreeMap<String, Vec<Token>>, seed: u64) -> Told {
+    let mut told = Told::default();
+    for (key, tokens) in sent {
+        let runs = net.leafs.runs.get(key).copied().unwrap_or(0);
+        assert!(runs <= 1, "key {key} ran {runs} times, seed {seed}");
+        for token in tokens {
+            match net.response(*token) {
+                Some(Response::Answered(answer)) => {
+                    assert_eq!(runs, 1, "key {key} was answered without a run, seed {seed}");
+                    assert_eq!(answer.coverage.total, 1);
+                    told.answered += 1;
+                }
+                Some(Response::NotRun(_)) => {
+                    assert_eq!(runs, 0, "key {key} ran after 'not run', seed {seed}");
+                    told.not_run += 1;
+                }
+                Some(Response::Unknown(_)) => told.unknown += 1,
+                Some(Response::Fault(fault)) => panic!("fault {fault:?}, seed {seed}"),
+                None => {}
+            }
+        }
+    }
+    told
+}
+
+/// Sends a key once, and sometimes again as a balancer or a caller does.
+fn send_copies(net: &mut Net, key: &str) -> Vec<Token> {
+    let mut tokens = Vec::new();
+    let copies = if net.rng.random_bool(0.4) {
+        net.rng.random_range(2..4)
+    } else {
+        1
+    };
+    for _ in 0..copies {
+        let node = net.any_living();
+        tokens.push(net.request(node, "order", Some(key)));
+        let pause = net.rng.random_range(0..40);
+        net.run_for(Duration::from_millis(pause));
+    }
+    tokens
+}
+
+fn run_orders(options: Options, fault: fn(&mut Net)) -> (Net, BTreeMap<String, Vec<Token>>) {
+    let mut net = Net::start(options);
+    let mut sent: BTreeMap<String, Vec<Token>> = BTreeMap::new();
+    for i in 0..KEYS {
+        if i % 15 == 7 {
+            fault(&mut net);
+        }
+        // A late copy of an earlier key, within the span in which balancers retry.
+        if i > 10 && net.rng.random_bool(0.3) {
+            let late = format!("key-{}", net.rng.random_range(i - 10..i));
+            let node = net.any_living();
+            let token = net.request(node, "order", Some(&late));
+            sent.entry(late).or_default().push(token);
+        }
+        let key = format!("key-{i}");
+        let tokens = send_copies(&mut net, &key);
+        sent.entry(key).or_default().extend(tokens);
+    }
+    net.heal();
+    // Copies that come after a new home has taken over, but within the span of retries.
+    for _ in 0..2 {
+        net.run_for(Duration::from_secs(7));
+        for i in KEYS - 20..KEYS {
+            let key = format!("key-{i}");
+            let node = net.any_living();
+            let token = net.request(node, "order", Some(&key));
+            sent.entry(key).or_default().push(token);
+        }
+    }
+    net.run_for(Duration::from_secs(20));
+    (net, sent)
+}
+
+fn kill_one(net: &mut Net) {
+    let node = net.any_living();
+    net.kill(node, false);
+    net.add_node();
+}
+
+fn kill_silently(net: &mut Net) {
+    let node = net.any_living();
+    net.kill(node, true);
+    net.add_node();
+}
+
+fn freeze_one(net: &mut Net) {
+    let node = net.any_living();
+    net.freeze(node);
+    net.run_for(Duration::from_millis(3_500));
+    net.thaw(node);
+}
+
+fn isolate_one(net: &mut Net) {
+    net.heal();
+    let node = net.any_living();
+    net.isolate(node);
+}
+
+fn lose_store(net: &mut Net) {
+    let down = !net.store_down;
+    net.set_store_down(down);
+    let node = net.any_living();
+    if net.living().len() > 4 {
+        net.kill(node, false);
+    }
+}
+
+fn break_leafs(net: &mut Net) {
+    let modes = [
+        LeafMode::Good,
+        LeafMode::Fails,
+        LeafMode::Cuts,
+        LeafMode::Sheds,
+        LeafMode::Gone,
+        LeafMode::WrongStamp,
+    ];
+    for leaf in 1..=16 {
+        let mode = modes[net.rng.random_range(0..modes.len())];
+        net.leafs.set_mode(LeafId(leaf), mode);
+    }
+}
+
+fn join_and_stop(net: &mut Net) {
+    net.add_node();
+    let node = net.any_living();
+    net.stop(node);
+}
+
+#[rstest]
+#[case::no_fault(|_: &mut Net| {})]
+#[case::kill(kill_one)]
+#[case::kill_silently(kill_silently)]
+#[case::freeze(freeze_one)]
+#[case::isolate(isolate_one)]
+#[case::store_outage(lose_store)]
+#[case::bad_leafs(break_leafs)]
+#[case::join_and_stop(join_and_stop)]
+fn order_runs_at_most_once(#[case] fault: fn(&mut Net)) {
+    for seed in 0..12 {
+        let (net, sent) = run_orders(
+            Options {
+                seed,
+                ..Options::default()
+            },
+            fault,
+        );
+        let told = check_keys(&net, &sent, seed);
+        assert!(told.answered > 0, "no order was answered, seed {seed}");
+    }
+}
+
+/// Without any fault every order is answered, copies included.
+#[test]
+fn order_without_fault_is_answered() {
+    let (net, sent) = run_orders(Options::default(), |_| {});
+    let told = check_keys(&net, &sent, 1);
+    assert_eq!(told.not_run, 0);
+    let copies: usize = sent.values().map(Vec::len).sum();
+    // A copy that arrives while the first one runs cannot be told its end yet.
+    assert!(told.answered * 10 >= copies * 8, "{told:?} of {copies}");
+}
+
+/// The check can fail: a home that forgets its keys at once runs copies again.
+#[test]
+fn order_with_forgetful_home_runs_twice() {
+    let mut options = Options::default();
+    options.once.window = Duration::ZERO;
+    let (net, _) = run_orders(options, kill_one);
+    assert!(
+        net.leafs.runs.values().any(|runs| *runs > 1),
+        "no key ran twice"
+    );
+}
+
+/// A request of a caller that goes away is still remembered for its retry.
+#[test]
+fn order_of_gone_caller_is_remembered() {
+    let mut net = Net::start(Options::default());
+    let first = net.request(0, "order", Some("souvenir"));
+    net.gone(0, first);
+    net.run_for(Duration::from_secs(1));
+    let second = net.request(3, "order", Some("souvenir"));
+    net.run_for(Duration::from_secs(1));
+    assert!(matches!(net.response(second), Some(Response::Answered(_))));
+    assert_eq!(net.leafs.runs["souvenir"], 1);
+}
+
+/// A node that stood still for longer than keys are remembered does not run what waited in its
+/// sockets meanwhile.
+#[test]
+fn order_from_paused_entry_is_not_run_again() {
+    for seed in 0..8 {
+        let mut net = Net::start(Options {
+            seed,
+            ..Options::default()
+        });
+        let first = net.request(1, "order", Some("leather"));
+        net.run_for(Duration::from_millis(300));
+        assert!(
+            matches!(net.response(first), Some(Response::Answered(_))),
+            "seed {seed}"
+        );
+        // The balancer's copy reaches a node that stands still.
+        net.freeze(4);
+        net.request(4, "order", Some("leather"));
+        net.run_for(Duration::from_secs(90));
+        net.thaw(4);
+        net.run_for(Duration::from_secs(5));
+        assert_eq!(net.leafs.runs["leather"], 1, "seed {seed}");
+    }
+}
+
+/// A home that stood still for longer than keys are remembered does not run copies that waited in
+/// its sockets.
+#[test]
+fn order_at_paused_home_is_not_run_again() {
+    for seed in 0..8 {
+        for home in 0..6 {
+            let mut net = Net::start(Options {
+                seed,
+                ..Options::default()
+            });
+            for i in 0..10 {
+                net.request(home, "order", Some(&format!("find-{i}")));
+            }
+            net.run_for(Duration::from_millis(300));
+            net.freeze(home);
+            for i in 0..10 {
+                let node = net.any_living();
+                net.request(node, "order", Some(&format!("find-{i}")));
+            }
+            net.run_for(Duration::from_secs(60));
+            net.thaw(home);
+            net.run_for(Duration::from_secs(5));
+            for (key, runs) in &net.leafs.runs {
+                assert!(*runs <= 1, "{key} ran {runs} times, seed {seed}");
+            }
+        }
+    }
+}
+
+/// An order that the network held back for longer than keys are remembered is not run.
+#[test]
+fn order_held_back_on_the_way_is_not_run_again() {
+    for home in 0..6 {
+        for entry in (0..6).filter(|entry| *entry != home) {
+            let mut net = Net::start(Options::default());
+            net.stall(entry, home);
+            for i in 0..10 {
+                let key = format!("find-{i}");
+                let other = (0..6).find(|n| *n != home && *n != entry).unwrap_or(0);
+                net.request(other, "order", Some(&key));
+                net.request(entry, "order", Some(&key));
+            }
+            net.run_for(Duration::from_secs(60));
+            net.release_stalled();
+            net.run_for(Duration::from_secs(5));
+            for (key, runs) in &net.leafs.runs {
+                assert!(
+                    *runs <= 1,
+                    "{key} ran {runs} times at home {home} by entry {entry}"
+                );
+            }
+        }
+    }
+}
+
+/// A node too busy for an order has its home record the refusal, so that no copy runs later.
+#[test]
+fn order_refused_when_busy_sticks() {
+    let mut net = Net::start(Options {
+        inflight: 1,
+        ..Options::default()
+    });
+    net.leafs.service = Duration::from_millis(50);
+    let running = net.request(0, "order", Some("first"));
+    let refused = net.request(0, "order", Some("second"));
+    net.run_for(Duration::from_millis(30));
+    let copy = net.request(2, "order", Some("second"));
+    net.run_for(Duration::from_secs(2));
+    assert!(matches!(net.response(running), Some(Response::Answered(_))));
+    assert!(matches!(net.response(refused), Some(Response::NotRun(_))));
+    assert!(matches!(net.response(copy), Some(Response::NotRun(_))));
+    assert!(!net.leafs.runs.contains_key("second"));
+}
+
+#[test]
+fn order_without_key_is_a_fault() {
+    let mut net = Net::start(Options::default());
+    let token = net.request(0, "order", None);
+    net.run_for(Duration::from_millis(100));
+    assert!(matches!(net.response(token), Some(Response::Fault(_))));
+}
--- a/crates/engine/tests/net/mod.rs
+++ b/crates/engine/tests/net/mod.rs
@@ -195,6 +195,9 @@
     pub leafs: Leafs,
     /// Pairs of nodes that cannot reach each other.
     cut: BTreeSet<(usize, usize)>,
+    /// Directions in which messages are held back, and those messages.
+    stalled: BTreeSet<(usize, usize)>,
+    held_back: Vec<Event>,
     /// Nodes that cannot reach the store.
     pub store_cut: BTreeSet<usize>,
     pub ended: Vec<Ended>,
@@ -233,6 +236,8 @@
             leafs: Leafs::new(options.seed),
             cut: BTreeSet::new(),
             store_cut: BTreeSet::new(),
+            stalled: BTreeSet::new(),
+            held_back: Vec::new(),
             ended: Vec::new(),
             next_token: 0,
         };
@@ -320,6 +325,16 @@
         token
     }
 
+    /// Tells a node that a caller has gone.
+    pub fn gone(&mut self, node: usize, token: Token) {
+        self.input(node, Input::Gone(token));
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&mut self, node: usize) {
+        self.input(node, Input::Stop);
+    }
+
     /// Returns how a request ended.
     pub fn response(&self, token: Token) -> Option<&Response> {
         self.ended
@@ -378,6 +393,19 @@
         self.store_cut.insert(node);
     }
 
+    /// Holds back what one node sends another, without breaking the connection.
+    pub fn stall(&mut self, from: usize, to: usize) {
+        self.stalled.insert((from, to));
+    }
+
+    /// Delivers everything that was held back, in order.
+    pub fn release_stalled(&mut self) {
+        self.stalled.clear();
+        for event in std::mem::take(&mut self.held_back) {
+            self.push(Duration::ZERO, event);
+        }
+    }
+
     /// Heals all cuts.
     pub fn heal(&mut self) {
         self.cut.clear();
@@ -747,6 +775,12 @@
         let Some(l) = self.links.get_mut(&link) else {
             return;
         };
+        let (from, to) = if to_acceptor {
+            (l.dialer, l.acceptor)
+        } else {
+            (l.acceptor, l.dialer)
+        };
+        let stalled = self.stalled.contains(&(from, to));
         let last = &mut l.last[usize::from(to_acceptor)];
         *last = (self.now + delay).max(*last);
         let delay = last.since(self.now);
@@ -755,7 +789,10 @@
             true => Event::ToAcceptor { link, message },
             false => Event::ToDialer { link, message },
         };
-        self.push(delay, event);
+        match stalled {
+            true => self.held_back.push(event),
+            false => self.push(delay, event),
+        }
     }
 
     fn links_of(&self, node: usize) -> Vec<u64> {
