--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod finding;
 pub mod ids;
 pub mod kind;
+pub mod map;
 pub mod outcome;
 pub mod seat;
 pub mod snapshot;
@@ -14,6 +15,7 @@
 pub use finding::{Finding, Findings, Place};
 pub use ids::{CallId, Epoch, IndexVersion, LeafId, MapVersion, NodeId, TreeVersion};
 pub use kind::{Priority, RequestKind};
+pub use map::FixedMap;
 pub use outcome::{Doubt, Refusal};
 pub use seat::LeafSeat;
 pub use snapshot::{Coverage, Snapshot};
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -1,16 +1,15 @@
-//! Membership, the configuration feed and what is written to the store.
+//! The configuration feed, the heartbeats and the connections to peers.
 //!
-//! Two nodes of a cell watch the store and push what is new to the others; a heartbeat that shows a
-//! later version makes a node fetch it, so a lost push costs one heartbeat.
+//! Nodes that watch the store push what is new to the others; a heartbeat that shows a later version
+//! makes a node fetch it, so a lost push costs one heartbeat.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use monsoondeal_config::{ServiceMap, Tree};
-use monsoondeal_core::{Epoch, LeafId, LeafSeat, NodeId, Time};
+use monsoondeal_core::{FixedMap, LeafId, LeafSeat, NodeId, Time};
 use monsoondeal_member::Roster;
 use monsoondeal_route::{Placement, Plan, PlanGroup, place, seat};
 use serde::de::DeserializeOwned;
@@ -19,14 +18,8 @@
 use crate::io::{LinkId, Object, Output};
 use crate::message::{Message, State, StoredMap, Versions};
 
-/// Nodes of a cell that watch the store.
-const WATCHERS: usize = 2;
 /// How long leafs that left the partition map keep their holder, for queries pinned to the old map.
 const RETIRE_AFTER: Duration = Duration::from_secs(12);
-/// Cells up to this size confirm their leases by the store when too few peers are heard.
-const STORE_CONFIRM_LIMIT: usize = 4;
-/// Wait of the second watcher and of joining nodes before they write a roster.
-const TURN_WAIT: Duration = Duration::from_millis(300);
 /// A pause of the whole process longer than this makes requests that waited meanwhile suspect.
 const PAUSE_LIMIT: Duration = Duration::from_secs(5);
 /// How long after such a pause requests count as having waited.
@@ -71,7 +64,7 @@
 pub(crate) struct Config {
     pub(crate) tree: Option<Rc<Tree>>,
     pub(crate) maps: BTreeMap<String, MapState>,
-    pub(crate) leafs: HashMap<LeafId, LeafInfo>,
+    pub(crate) leafs: FixedMap<LeafId, LeafInfo>,
 }
 
 /// Who holds what, computed from the roster.
@@ -83,20 +76,11 @@
     pub(crate) keys_before: Placement,
 }
 
-/// State of membership and roles.
+/// State of the configuration feed and of a planned stop.
 #[derive(Debug, Default)]
 pub(crate) struct Control {
-    /// Keys that are watched.
-    watched: BTreeSet<String>,
-    /// Store version of the roster, with the epoch and whether it was settled.
-    stored: Option<(Option<u64>, Epoch, bool)>,
-    /// Since when a write is under way.
-    writing: Option<Time>,
-    /// Since when this node would write a roster.
-    wanted_since: Option<Time>,
     /// Last fetch from a peer.
-    fetched: HashMap<SocketAddr, Time>,
-    last_read: Option<Time>,
+    fetched: FixedMap<SocketAddr, Time>,
     last_input: Option<Time>,
     /// Until when requests may have waited out a pause of this process.
     pub(crate) suspect_until: Time,
@@ -165,9 +149,10 @@
         }
     }
 
-    /// Returns whether this node can serve callers: it has a tree and a roster.
-    pub fn is_ready(&self) -> bool {
-        self.config.tree.is_some() && !self.cell.roster().members.is_empty()
+    /// Returns whether this node can serve callers: it has a tree, and hears enough of its cell to
+    /// reach the leafs.
+    pub fn is_ready(&self, now: Time) -> bool {
+        self.config.tree.is_some() && self.cell.hears_cell(now) && !self.control.stopping
     }
 
     pub(crate) fn on_peer_up(&mut self, addr: SocketAddr, now: Time, out: &mut Vec<Output>) {
@@ -248,6 +233,7 @@
         now: Time,
         out: &mut Vec<Output>,
     ) {
+        self.note_contact(true, now);
         let mut news = State::default();
         if key == TREE_KEY {
             let Some(tree) = self.parse::<Tree>(key, object.as_ref()) else {
@@ -265,7 +251,7 @@
                 None => Roster::default(),
             };
             let version = object.as_ref().map(|o| o.version);
-            self.control.stored = Some((version, roster.epoch, roster.previous.is_none()));
+            self.roles.note_stored(version, &roster);
             if self.learn_roster(roster.clone(), now, out) {
                 news.roster = Some(roster.clone());
             }
@@ -295,7 +281,7 @@
     /// Handles the end of a write. Whatever it was, only a read tells what the store holds now, and
     /// under which version the next write can be made.
     pub(crate) fn on_written(&mut self, key: &str, out: &mut Vec<Output>) {
-        self.control.writing = None;
+        self.roles.writing = None;
         self.read(key.to_owned(), out);
     }
 
@@ -312,9 +298,7 @@
         self.purge_retired(now);
         self.cell.forget_strangers();
         self.update_peers(now, out);
-        self.update_watches(now, out);
-        self.confirm_by_store(now, out);
-        self.propose_roster(now, out);
+        self.update_roles(now, out);
     }
 
     pub(crate) fn on_stop(&mut self, now: Time, out: &mut Vec<Output>) {
@@ -494,7 +478,7 @@
     }
 
     /// Returns the seats that the roster should have, in order.
-    fn wanted_seats(&self, now: Time) -> Vec<LeafSeat> {
+    pub(crate) fn wanted_seats(&self, now: Time) -> Vec<LeafSeat> {
         let kept = |info: &LeafInfo| info.retired.is_none_or(|at| now < at + RETIRE_AFTER);
         let leafs = self.config.leafs.iter().filter(|(_, info)| kept(info));
         let mut seats: Vec<LeafSeat> = leafs
@@ -547,96 +531,7 @@
         out.push(Output::Peers(wanted.into_iter().collect()));
     }
 
-    /// Returns this node's position among the living members, or `None` if it is no member.
-    fn rank(&self, now: Time) -> Option<usize> {
-        let me = self.settings.me.node;
-        let roster = self.cell.roster();
-        let alive = roster
-            .members
-            .iter()
-            .filter(|m| self.cell.is_alive(m.node, now));
-        alive.map(|m| m.node).position(|node| node == me)
-    }
-
-    fn update_watches(&mut self, now: Time, out: &mut Vec<Output>) {
-        let mut wanted = BTreeSet::new();
-        if self.rank(now).is_none_or(|rank| rank < WATCHERS) {
-            wanted.insert(TREE_KEY.to_owned());
-            wanted.insert(roster_key(&self.settings.cell));
-            if let Some(tree) = &self.config.tree {
-                wanted.extend(tree.cell_services(&self.settings.cell).map(map_key));
-            }
-        }
-        if wanted != self.control.watched {
-            self.control.watched.clone_from(&wanted);
-            out.push(Output::Watch(wanted.into_iter().collect()));
-        }
-    }
-
-    /// Reads the roster where too few peers are heard to confirm the leases of a small cell.
-    fn confirm_by_store(&mut self, now: Time, out: &mut Vec<Output>) {
-        let roster = self.cell.roster();
-        let small = roster.members.len() <= STORE_CONFIRM_LIMIT;
-        let due = self
-            .control
-            .last_read
-            .is_none_or(|at| now >= at + self.cell.settings().heartbeat);
-        if small && due && roster.contains(self.settings.me.node) && !self.cell.is_confirmed(now) {
-            self.control.last_read = Some(now);
-            self.read(roster_key(&self.settings.cell), out);
-        }
-    }
-
-    fn propose_roster(&mut self, now: Time, out: &mut Vec<Output>) {
-        let rank = self.rank(now);
-        if rank.is_some_and(|rank| rank >= WATCHERS) || self.is_write_pending(now) {
-            return;
-        }
-        let roster = self.cell.roster();
-        let current = (roster.epoch, roster.previous.is_none());
-        let Some((version, epoch, settled)) = self.control.stored else {
-            return;
-        };
-        if (epoch, settled) != current {
-            return;
-        }
-        let me = &self.settings.me;
-        let joins = !roster.contains(me.node) && self.cell.may_join(now);
-        let joining = if joins { std::slice::from_ref(me) } else { &[] };
-        // A node that is no member, and may not become one, leaves the roster alone.
-        if rank.is_none() && !joins {
-            return;
-        }
-        let seats = self.wanted_seats(now);
-        let Some(next) = self.cell.proposal(joining, &seats, now) else {
-            self.control.wanted_since = None;
-            return;
-        };
-        // Others wait for the first watcher's write before they try themselves.
-        let since = *self.control.wanted_since.get_or_insert(now);
-        if rank != Some(0) && version.is_some() && now < since + TURN_WAIT {
-            return;
-        }
-        let Ok(value) = serde_json::to_vec(&next) else {
-            return;
-        };
-        self.control.wanted_since = None;
-        self.control.writing = Some(now);
-        self.counts.store_calls += 1;
-        let key = roster_key(&self.settings.cell);
-        out.push(Output::Write {
-            key,
-            expects: version,
-            value: Bytes::from(value),
-        });
-    }
-
-    fn is_write_pending(&self, now: Time) -> bool {
-        let limit = self.cell.settings().silence * 2;
-        self.control.writing.is_some_and(|at| now < at + limit)
-    }
-
-    fn read(&mut self, key: String, out: &mut Vec<Output>) {
+    pub(crate) fn read(&mut self, key: String, out: &mut Vec<Output>) {
         self.counts.store_calls += 1;
         out.push(Output::Read(key));
     }
--- a/crates/engine/src/dump.rs
+++ b/crates/engine/src/dump.rs
@@ -60,7 +60,7 @@
             node: self.settings.me.node.0,
             cell: &self.settings.cell,
             domain: &self.settings.me.domain,
-            ready: self.is_ready(),
+            ready: self.is_ready(now),
             confirmed: self.cell.is_confirmed(now),
             stopping: self.control.stopping,
             versions: self.versions(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,9 +1,9 @@
 //! The engine and the dispatch of its inputs.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use monsoondeal_core::{CallId, LeafId, Time};
+use monsoondeal_core::{CallId, FixedMap, LeafId, Time};
 use monsoondeal_limit::OnceSettings;
 use monsoondeal_member::{Cell, CellSettings, Member};
 use monsoondeal_route::ReplicaSettings;
@@ -15,6 +15,7 @@
 use crate::home::Home;
 use crate::io::{Input, LinkId, Output};
 use crate::message::{Call, CallEnd, Message, Order, OrderEnd};
+use crate::roles::Roles;
 use crate::timers::Timers;
 
 /// `EngineSettings` configure an engine.
@@ -80,9 +81,10 @@
     pub(crate) config: Config,
     pub(crate) seats: Seats,
     pub(crate) control: Control,
+    pub(crate) roles: Roles,
     /// Peers that this node connects to.
-    pub(crate) peers: HashMap<SocketAddr, Peer>,
-    pub(crate) links: HashMap<LinkId, Link>,
+    pub(crate) peers: FixedMap<SocketAddr, Peer>,
+    pub(crate) links: FixedMap<LinkId, Link>,
     pub(crate) entry: Entry,
     pub(crate) holder: Holder,
     pub(crate) home: Home,
@@ -108,8 +110,9 @@
             config: Config::default(),
             seats: Seats::default(),
             control: Control::default(),
-            peers: HashMap::new(),
-            links: HashMap::new(),
+            roles: Roles::default(),
+            peers: FixedMap::default(),
+            links: FixedMap::default(),
             holder: Holder::default(),
             home: Home::default(),
             local: VecDeque::new(),
@@ -156,6 +159,7 @@
             Input::LinkDown(link) => self.on_link_down(link),
             Input::LeafDone(ticket, end) => self.on_leaf_done(ticket, end, now, out),
             Input::Object { key, object, asked } => self.on_object(&key, object, asked, now, out),
+            Input::ReadFailed(_) => self.note_contact(false, now),
             Input::Written(key) => self.on_written(&key, out),
             Input::Stop => self.on_stop(now, out),
             Input::Tick => {}
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -1,12 +1,11 @@
 //! Requests of callers and the queries made from them.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use monsoondeal_config::Resolved;
-use monsoondeal_core::{CallId, Doubt, Findings, Priority, Refusal, Time};
+use monsoondeal_core::{CallId, Doubt, Findings, FixedMap, Priority, Refusal, Time};
 use monsoondeal_limit::Budget;
 use monsoondeal_route::query::Loss;
 use monsoondeal_route::{Action, Answer, Env, Plan, Query, QuerySettings, Replicas, Reply};
@@ -78,13 +77,13 @@
 #[derive(Debug)]
 pub(crate) struct Entry {
     next_id: u64,
-    queries: HashMap<QueryId, Live>,
-    calls: HashMap<CallId, (QueryId, Target)>,
-    orders: HashMap<CallId, Pending>,
-    work: HashMap<Token, Work>,
+    queries: FixedMap<QueryId, Live>,
+    calls: FixedMap<CallId, (QueryId, Target)>,
+    orders: FixedMap<CallId, Pending>,
+    work: FixedMap<Token, Work>,
     pub(crate) replicas: Replicas,
     /// Hedge budgets by service and kind.
-    hedges: HashMap<Rc<str>, Budget>,
+    hedges: FixedMap<Rc<str>, Budget>,
     retries: Budget,
 }
 
@@ -92,12 +91,12 @@
     pub(crate) fn new(settings: &EngineSettings) -> Self {
         Self {
             next_id: 0,
-            queries: HashMap::new(),
-            calls: HashMap::new(),
-            orders: HashMap::new(),
-            work: HashMap::new(),
+            queries: FixedMap::default(),
+            calls: FixedMap::default(),
+            orders: FixedMap::default(),
+            work: FixedMap::default(),
             replicas: Replicas::new(settings.replicas, settings.seed),
-            hedges: HashMap::new(),
+            hedges: FixedMap::default(),
             retries: Budget::new(RETRY_RATIO, BUDGET_RESERVE),
         }
     }
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -1,11 +1,10 @@
 //! Calls to leafs whose lease this node holds.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use monsoondeal_config::LeafLimits;
-use monsoondeal_core::{CallId, Doubt, LeafId, Refusal, Time};
+use monsoondeal_core::{CallId, Doubt, FixedMap, LeafId, Refusal, Time};
 use monsoondeal_limit::{Cancelled, Decision, Gate, GateSettings, Offer, Verdict};
 use monsoondeal_member::Lease;
 
@@ -32,10 +31,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Holder {
     next_ticket: u64,
-    gates: HashMap<LeafId, Gate<CallKey>>,
-    running: HashMap<Ticket, Running>,
+    gates: FixedMap<LeafId, Gate<CallKey>>,
+    running: FixedMap<Ticket, Running>,
     /// Calls that wait in a gate.
-    waiting: HashMap<CallKey, Call>,
+    waiting: FixedMap<CallKey, Call>,
 }
 
 impl Holder {
@@ -154,7 +153,7 @@
             .filter(|(leaf, _)| seats.holder(**leaf) != Some(me))
             .map(|(leaf, gate)| (*leaf, gate.warmth()))
             .collect();
-        let mut warm: HashMap<SocketAddr, Vec<(LeafId, Duration)>> = HashMap::new();
+        let mut warm: FixedMap<SocketAddr, Vec<(LeafId, Duration)>> = FixedMap::default();
         for (leaf, warmth) in lost {
             let addr = self
                 .seats
--- a/crates/engine/src/home.rs
+++ b/crates/engine/src/home.rs
@@ -4,13 +4,12 @@
 //! lease as a leaf. When a place moves, its old home hands the keys to the new one; if the old home
 //! is lost, the new one answers "unknown" for as long as copies of old requests may arrive.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use monsoondeal_core::{CallId, Coverage, Doubt, Epoch, NodeId, Refusal, Time};
+use monsoondeal_core::{CallId, Coverage, Doubt, Epoch, FixedMap, NodeId, Refusal, Time};
 use monsoondeal_limit::{Once, Seen};
 use monsoondeal_member::Lease;
 use monsoondeal_route::query::Loss;
@@ -35,7 +34,7 @@
 /// State of the home side.
 #[derive(Debug, Default)]
 pub(crate) struct Home {
-    tables: HashMap<u32, Once<OrderAnswer>>,
+    tables: FixedMap<u32, Once<OrderAnswer>>,
     /// Messages on moves that arrived before the roster that causes them.
     early: Vec<(Epoch, Message)>,
     /// Messages on moves that wait for the connection to the receiver.
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -149,6 +149,8 @@
         /// Time of the read.
         asked: Time,
     },
+    /// A read of this key has failed.
+    ReadFailed(String),
     /// A write to this key has ended; it may or may not have taken effect.
     Written(String),
     /// A planned stop is wanted.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,7 +5,8 @@
 //!
 //! The parts of the engine, each in a module of its own:
 //!
-//! - `control`: membership, the configuration feed and what is written to the store;
+//! - `control`: the configuration feed, heartbeats and connections to peers;
+//! - `roles`: who watches the store and who writes the roster;
 //! - `entry`: requests of callers and the queries made from them;
 //! - `holder`: calls to leafs whose lease this node holds;
 //! - `home`: requests that may run at most once, by idempotency key.
@@ -19,6 +20,7 @@
 mod home;
 pub mod io;
 pub mod message;
+mod roles;
 mod timers;
 
 pub use control::{TREE_KEY, map_key, roster_key};
--- /dev/null
+++ b/crates/engine/src/roles.rs
@@ -0,0 +1,202 @@
+//! Roles in a cell: who watches the store and who writes the roster.
+//!
+//! Two members watch the store, those of lowest identity that reach it. Every member says in its
+//! heartbeats whether it has had an answer from the store of late. While no member says so, further
+//! members probe the store, two more each second, until one gets an answer. No lease is needed: all
+//! writes are conditional, so that two nodes in one role do no harm.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use monsoondeal_core::{Epoch, NodeId, Time};
+use monsoondeal_member::Roster;
+
+use crate::control::{TREE_KEY, map_key, roster_key};
+use crate::engine::Engine;
+use crate::io::Output;
+
+/// Nodes of a cell that watch the store.
+const WATCHERS: usize = 2;
+/// Most nodes of a cell that probe a store that none of them reaches.
+const PROBERS: usize = 8;
+/// Time between two probes of the store by a node that watches it.
+const PROBE_PERIOD: Duration = Duration::from_secs(2);
+/// How long an answer counts as contact with the store.
+const CONTACT_SPAN: Duration = Duration::from_millis(4_500);
+/// Time after which more nodes probe a store that none reaches.
+const PROBE_STEP: Duration = Duration::from_secs(1);
+/// Cells up to this size confirm their leases by the store when too few peers are heard.
+const STORE_CONFIRM_LIMIT: usize = 4;
+/// Wait of the second watcher and of joining nodes before they write a roster.
+const TURN_WAIT: Duration = Duration::from_millis(300);
+
+/// What the store holds of the roster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Stored {
+    /// Version in the store; `None` if there is no roster.
+    version: Option<u64>,
+    epoch: Epoch,
+    settled: bool,
+}
+
+/// State of the roles.
+#[derive(Debug, Default)]
+pub(crate) struct Roles {
+    /// Keys that are watched.
+    watched: BTreeSet<String>,
+    stored: Option<Stored>,
+    /// Since when a write is under way.
+    pub(crate) writing: Option<Time>,
+    /// Since when this node would write a roster.
+    wanted_since: Option<Time>,
+    /// Last answer of the store.
+    contact: Option<Time>,
+    /// Since when no member is known to reach the store.
+    lost_since: Option<Time>,
+    last_probe: Option<Time>,
+}
+
+impl Roles {
+    pub(crate) fn note_stored(&mut self, version: Option<u64>, roster: &Roster) {
+        let settled = roster.previous.is_none();
+        self.stored = Some(Stored {
+            version,
+            epoch: roster.epoch,
+            settled,
+        });
+    }
+}
+
+impl Engine {
+    /// Notes whether the store has answered.
+    pub(crate) fn note_contact(&mut self, answered: bool, now: Time) {
+        self.roles.contact = answered.then_some(now);
+        self.cell.set_store(answered);
+    }
+
+    pub(crate) fn update_roles(&mut self, now: Time, out: &mut Vec<Output>) {
+        let contact = self.roles.contact.is_some_and(|at| now < at + CONTACT_SPAN);
+        self.cell.set_store(contact);
+        let reaching = self.cell.reaching_store(now);
+        self.roles.lost_since = match reaching.is_empty() {
+            true => self.roles.lost_since.or(Some(now)),
+            false => None,
+        };
+        let watches = self.is_watcher(&reaching, now);
+        self.update_watches(watches, out);
+        self.probe(watches, now, out);
+        self.confirm_by_store(now, out);
+        self.propose_roster(&reaching, now, out);
+    }
+
+    /// Returns whether this node should watch the store, given the members that reach it.
+    fn is_watcher(&self, reaching: &[NodeId], now: Time) -> bool {
+        let me = self.settings.me.node;
+        let roster = self.cell.roster();
+        if !roster.contains(me) {
+            return true;
+        }
+        if reaching.contains(&me) {
+            return reaching.iter().filter(|node| **node < me).count() < WATCHERS;
+        }
+        let alive = roster
+            .members
+            .iter()
+            .filter(|m| self.cell.is_alive(m.node, now));
+        let rank = alive.filter(|m| m.node < me).count();
+        let lost = self
+            .roles
+            .lost_since
+            .map_or(Duration::ZERO, |since| now.since(since));
+        let steps = (lost.as_millis() / PROBE_STEP.as_millis()) as usize;
+        rank < (WATCHERS * (1 + steps)).min(PROBERS)
+    }
+
+    fn update_watches(&mut self, watches: bool, out: &mut Vec<Output>) {
+        let mut wanted = BTreeSet::new();
+        if watches {
+            wanted.insert(TREE_KEY.to_owned());
+            wanted.insert(roster_key(&self.settings.cell));
+            if let Some(tree) = &self.config.tree {
+                wanted.extend(tree.cell_services(&self.settings.cell).map(map_key));
+            }
+        }
+        if wanted != self.roles.watched {
+            self.roles.watched.clone_from(&wanted);
+            out.push(Output::Watch(wanted.into_iter().collect()));
+        }
+    }
+
+    /// Reads the roster now and then, so that a store out of reach is noticed soon.
+    fn probe(&mut self, watches: bool, now: Time, out: &mut Vec<Output>) {
+        let due = self
+            .roles
+            .last_probe
+            .is_none_or(|at| now >= at + PROBE_PERIOD);
+        if watches && due {
+            self.roles.last_probe = Some(now);
+            self.read(roster_key(&self.settings.cell), out);
+        }
+    }
+
+    /// Reads the roster where too few peers are heard to confirm the leases of a small cell.
+    fn confirm_by_store(&mut self, now: Time, out: &mut Vec<Output>) {
+        let roster = self.cell.roster();
+        let small = roster.members.len() <= STORE_CONFIRM_LIMIT;
+        let period = self.cell.settings().heartbeat;
+        let due = self.roles.last_probe.is_none_or(|at| now >= at + period);
+        if small && due && roster.contains(self.settings.me.node) && !self.cell.is_confirmed(now) {
+            self.roles.last_probe = Some(now);
+            self.read(roster_key(&self.settings.cell), out);
+        }
+    }
+
+    fn propose_roster(&mut self, reaching: &[NodeId], now: Time, out: &mut Vec<Output>) {
+        let me = &self.settings.me;
+        let rank = reaching.iter().position(|node| *node == me.node);
+        if rank.is_some_and(|rank| rank >= WATCHERS) || self.is_write_pending(now) {
+            return;
+        }
+        let roster = self.cell.roster();
+        let Some(stored) = self.roles.stored else {
+            return;
+        };
+        if (stored.epoch, stored.settled) != (roster.epoch, roster.previous.is_none()) {
+            return;
+        }
+        let joins = !roster.contains(me.node) && self.cell.may_join(now);
+        let joining = if joins { std::slice::from_ref(me) } else { &[] };
+        // A node that is no member, and may not become one, leaves the roster alone.
+        if rank.is_none() && !joins {
+            return;
+        }
+        let seats = self.wanted_seats(now);
+        let Some(next) = self.cell.proposal(joining, &seats, now) else {
+            self.roles.wanted_since = None;
+            return;
+        };
+        // Others wait for the first watcher's write before they try themselves.
+        let since = *self.roles.wanted_since.get_or_insert(now);
+        if rank != Some(0) && stored.version.is_some() && now < since + TURN_WAIT {
+            return;
+        }
+        let Ok(value) = serde_json::to_vec(&next) else {
+            return;
+        };
+        self.roles.wanted_since = None;
+        self.roles.writing = Some(now);
+        self.counts.store_calls += 1;
+        let key = roster_key(&self.settings.cell);
+        out.push(Output::Write {
+            key,
+            expects: stored.version,
+            value: Bytes::from(value),
+        });
+    }
+
+    fn is_write_pending(&self, now: Time) -> bool {
+        let limit = self.cell.settings().silence * 2;
+        self.roles.writing.is_some_and(|at| now < at + limit)
+    }
+}
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -1,23 +1,23 @@
 //! Timers of the engine.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::hash::Hash;
 
-use monsoondeal_core::Time;
+use monsoondeal_core::{FixedMap, Time};
 
 /// `Timers` hold at most one due time for each key.
 #[derive(Debug)]
 pub(crate) struct Timers<K> {
     due: BTreeSet<(Time, K)>,
     /// Invariant: the same pairs as in `due`.
-    keys: HashMap<K, Time>,
+    keys: FixedMap<K, Time>,
 }
 
 impl<K> Default for Timers<K> {
     fn default() -> Self {
         Self {
             due: BTreeSet::new(),
-            keys: HashMap::new(),
+            keys: FixedMap::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/engine/tests/config_feed.rs
@@ -0,0 +1,223 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts.
+
+mod net;
+
+use std::time::Duration;
+
+use monsoondeal_config::{Edit, Level};
+use monsoondeal_engine::io::Response;
+use net::{Net, Options, SERVICE};
+use rand::RngExt;
+use rstest::rstest;
+
+/// Time from acceptance to force on every live node.
+const FORCE_LIMIT: Duration = Duration::from_secs(8);
+
+fn deadline_edit(millis: u64) -> Edit {
+    Edit::Set {
+        level: Level::kind("rilegatoria", SERVICE, "lookup"),
+        setting: "deadline_ms".to_owned(),
+        value: millis.into(),
+    }
+}
+
+/// Checks that trees never went back at any node.
+fn assert_no_revert(net: &Net) {
+    for (at, node) in net.nodes.iter().enumerate() {
+        assert!(
+            node.trees.is_sorted(),
+            "trees at node {at}: {:?}",
+            node.trees
+        );
+    }
+}
+
+fn assert_in_force(net: &Net, version: u64) {
+    for at in net.living() {
+        let known = net.nodes[at].engine.tree_version();
+        assert!(
+            known >= version,
+            "node {at} has version {known}, not {version}"
+        );
+    }
+}
+
+fn no_fault(_: &mut Net) {}
+
+fn freeze_watchers(net: &mut Net) {
+    for node in net.watchers() {
+        net.freeze(node);
+    }
+}
+
+fn kill_watchers(net: &mut Net) {
+    for node in net.watchers() {
+        net.kill(node, true);
+    }
+}
+
+fn cut_watchers_from_store(net: &mut Net) {
+    for node in net.watchers() {
+        net.store_cut.insert(node);
+    }
+}
+
+fn join(net: &mut Net) {
+    net.add_node();
+}
+
+fn cut_some_pairs(net: &mut Net) {
+    let watchers = net.watchers();
+    for other in 0..net.nodes.len() {
+        if !watchers.contains(&other) {
+            net.cut(watchers[0], other);
+        }
+    }
+}
+
+#[rstest]
+#[case::no_fault(no_fault)]
+#[case::watchers_frozen(freeze_watchers)]
+#[case::watchers_killed(kill_watchers)]
+#[case::watchers_without_store(cut_watchers_from_store)]
+#[case::node_joins(join)]
+#[case::watcher_without_peers(cut_some_pairs)]
+fn change_in_force_in_time(#[case] fault: fn(&mut Net)) {
+    for seed in 0..10 {
+        let mut net = Net::start(Options {
+            seed,
+            nodes: 9,
+            ..Options::default()
+        });
+        // The fault comes at any time around the change.
+        let early = net.rng.random_bool(0.5);
+        if early {
+            fault(&mut net);
+            let pause = net.rng.random_range(0..20);
+            net.run_for(Duration::from_millis(pause));
+        }
+        let version = net.edit(deadline_edit(700));
+        if !early {
+            let pause = net.rng.random_range(0..20);
+            net.run_for(Duration::from_millis(pause));
+            fault(&mut net);
+        }
+        net.run_for(FORCE_LIMIT);
+        assert_in_force(&net, version);
+        assert_no_revert(&net);
+    }
+}
+
+#[test]
+fn change_in_force_after_thaw() {
+    let mut net = Net::start(Options::default());
+    net.freeze(3);
+    net.run_for(Duration::from_secs(20));
+    let version = net.edit(deadline_edit(300));
+    net.run_for(Duration::from_secs(5));
+    net.thaw(3);
+    net.run_for(FORCE_LIMIT);
+    assert_in_force(&net, version);
+    assert_no_revert(&net);
+}
+
+/// The store is down for an hour: serving goes on, and a node that starts meanwhile takes the
+/// configuration from its peers.
+#[test]
+fn store_outage_serving_goes_on() {
+    let mut net = Net::start(Options::default());
+    let version = net.edit(deadline_edit(700));
+    net.run_for(FORCE_LIMIT);
+    net.set_store_down(true);
+    let mut tokens = Vec::new();
+    for _ in 0..60 {
+        net.run_for(Duration::from_secs(60));
+        let node = net.any_living();
+        tokens.push(net.request(node, "lookup", None));
+    }
+    let newcomer = net.add_node();
+    net.run_for(Duration::from_secs(10));
+    assert_eq!(net.nodes[newcomer].engine.tree_version(), version);
+    tokens.push(net.request(newcomer, "lookup", None));
+    net.run_for(Duration::from_secs(2));
+    for token in tokens {
+        let Some(Response::Answered(answer)) = net.response(token) else {
+            panic!("{:?}", net.response(token));
+        };
+        assert!(answer.coverage.is_full());
+    }
+
+    // Afterwards changes go on, and the newcomer becomes a member.
+    net.set_store_down(false);
+    let version = net.edit(deadline_edit(800));
+    net.run_for(FORCE_LIMIT);
+    assert_in_force(&net, version);
+    assert_no_revert(&net);
+    net.run_for(Duration::from_secs(10));
+    net.assert_settled(7);
+}
+
+/// A node lost during a store outage costs its leases, but the other replicas still answer.
+#[test]
+fn store_outage_with_node_lost() {
+    for seed in 0..10 {
+        let mut net = Net::start(Options {
+            seed,
+            ..Options::default()
+        });
+        net.set_store_down(true);
+        net.run_for(Duration::from_secs(5));
+        let lost = net.any_living();
+        net.kill(lost, true);
+        net.run_for(Duration::from_secs(5));
+        for _ in 0..50 {
+            let node = net.any_living();
+            let token = net.request(node, "lookup", None);
+            net.run_for(Duration::from_millis(300));
+            let Some(Response::Answered(answer)) = net.response(token) else {
+                panic!("{:?}, seed {seed}", net.response(token));
+            };
+            assert!(answer.coverage.is_full(), "{:?}, seed {seed}", answer.lost);
+        }
+    }
+}
+
+/// Every step of a membership change survives a lost reply and racing writers.
+#[test]
+fn roster_survives_lost_replies() {
+    for seed in 0..10 {
+        let mut net = Net::start(Options {
+            seed,
+            ..Options::default()
+        });
+        net.lose_replies = 3;
+        net.add_node();
+        let lost = net.any_living();
+        net.kill(lost, false);
+        net.run_for(Duration::from_secs(40));
+        net.assert_settled(6);
+    }
+}
+
+/// The store's calls do not grow with the nodes of a cell while nothing changes: two watchers probe
+/// it, each every 2 seconds.
+#[rstest]
+#[case::today(6)]
+#[case::nine(9)]
+#[case::eighteen(18)]
+#[case::target_cell(32)]
+fn store_calls_flat_when_idle(#[case] nodes: usize) {
+    let mut net = Net::start(Options {
+        nodes,
+        ..Options::default()
+    });
+    net.run_for(Duration::from_secs(20));
+    let before = net.store_calls;
+    net.run_for(Duration::from_secs(60));
+    let calls = net.store_calls - before;
+    assert!(
+        calls <= 2 * 30,
+        "{calls} calls of {nodes} nodes in a minute"
+    );
+    assert_eq!(net.watchers().len(), 2);
+}
--- /dev/null
+++ b/crates/engine/tests/departures.rs
@@ -0,0 +1,266 @@
+//! Failure domains, leafs and nodes leave and return without harm to callers.
+
+mod net;
+
+use std::time::Duration;
+
+use monsoondeal_config::Edit;
+use monsoondeal_core::{LeafId, Time};
+use monsoondeal_engine::io::{Response, Token};
+use net::{DOMAINS, Net, Options, first_map};
+use rand::RngExt;
+use rstest::rstest;
+
+/// Time after which a failure domain or a leaf that was taken out gets no new work.
+const NO_WORK_LIMIT: Duration = Duration::from_secs(8);
+
+/// Sends requests for a while, one every 5 ms, and returns them.
+fn load(net: &mut Net, span: Duration) -> Vec<Token> {
+    let end = net.now + span;
+    let mut tokens = Vec::new();
+    while net.now < end {
+        let node = net.any_ready();
+        tokens.push(net.request(node, "lookup", None));
+        net.run_for(Duration::from_millis(5));
+    }
+    tokens
+}
+
+/// Returns the leafs of a domain, with 8 groups.
+fn domain_leafs(domain: &str) -> Vec<LeafId> {
+    let map = first_map(8, 1);
+    map.leafs()
+        .filter(|(_, leaf)| leaf.domain == domain)
+        .map(|(_, leaf)| leaf.leaf)
+        .collect()
+}
+
+/// Returns how many requests were answered in full, and prints the others.
+fn full_answers(net: &Net, tokens: &[Token]) -> usize {
+    let full = |token: &&Token| match net.response(**token) {
+        Some(Response::Answered(answer)) if answer.coverage.is_full() => true,
+        other => {
+            let node = net
+                .ended
+                .iter()
+                .find(|e| e.token == **token)
+                .map(|e| (e.node, e.at));
+            println!("{token:?} at {node:?}: {other:?}");
+            false
+        }
+    };
+    tokens.iter().filter(full).count()
+}
+
+fn last_start(net: &Net, leafs: &[LeafId]) -> Time {
+    leafs
+        .iter()
+        .map(|leaf| net.leafs.last_start(*leaf))
+        .max()
+        .unwrap_or_default()
+}
+
+fn no_fault(_: &mut Net) {}
+
+fn isolate_one(net: &mut Net) {
+    let node = net.any_living();
+    net.isolate(node);
+}
+
+fn freeze_one(net: &mut Net) {
+    let node = net.any_living();
+    net.freeze(node);
+}
+
+fn kill_watchers(net: &mut Net) {
+    for node in net.watchers() {
+        net.kill(node, true);
+    }
+}
+
+#[rstest]
+#[case::no_fault(no_fault)]
+#[case::node_isolated(isolate_one)]
+#[case::node_frozen(freeze_one)]
+#[case::watchers_killed(kill_watchers)]
+fn domain_out_gets_no_new_work(#[case] fault: fn(&mut Net)) {
+    for (seed, domain) in (0..8).zip(DOMAINS.iter().cycle()) {
+        let mut net = Net::start(Options {
+            seed,
+            nodes: 9,
+            ..Options::default()
+        });
+        load(&mut net, Duration::from_millis(500));
+        fault(&mut net);
+        net.edit(Edit::DomainOut {
+            domain: (*domain).to_owned(),
+        });
+        let out_at = net.now;
+        load(&mut net, Duration::from_secs(12));
+        for node in 0..net.nodes.len() {
+            net.thaw(node);
+        }
+        let later = load(&mut net, Duration::from_secs(6));
+        net.run_for(Duration::from_secs(3));
+        let last = last_start(&net, &domain_leafs(domain));
+        assert!(
+            last <= out_at + NO_WORK_LIMIT,
+            "{:?} after, seed {seed}",
+            last.since(out_at)
+        );
+        // The other replicas cover every group.
+        let full = full_answers(&net, &later[later.len() / 2..]);
+        assert_eq!(
+            full,
+            later.len() - later.len() / 2,
+            "full answers, seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn domain_in_works_again() {
+    let mut net = Net::start(Options::default());
+    net.edit(Edit::DomainOut {
+        domain: "p1".to_owned(),
+    });
+    net.run_for(Duration::from_secs(5));
+    net.edit(Edit::DomainIn {
+        domain: "p1".to_owned(),
+    });
+    net.run_for(Duration::from_secs(5));
+    let before = net.now;
+    load(&mut net, Duration::from_secs(5));
+    assert!(last_start(&net, &domain_leafs("p1")) > before);
+}
+
+/// While a domain leaves and returns, no request is harmed.
+#[test]
+fn domain_out_and_in_harms_no_request() {
+    let mut net = Net::start(Options::default());
+    let mut tokens = load(&mut net, Duration::from_secs(2));
+    net.edit(Edit::DomainOut {
+        domain: "p2".to_owned(),
+    });
+    tokens.extend(load(&mut net, Duration::from_secs(4)));
+    net.edit(Edit::DomainIn {
+        domain: "p2".to_owned(),
+    });
+    tokens.extend(load(&mut net, Duration::from_secs(4)));
+    net.run_for(Duration::from_secs(2));
+    assert_eq!(full_answers(&net, &tokens), tokens.len());
+}
+
+#[test]
+fn leaf_out_gets_no_new_work() {
+    let mut net = Net::start(Options::default());
+    net.edit(Edit::LeafOut { leaf: LeafId(5) });
+    let out_at = net.now;
+    let tokens = load(&mut net, Duration::from_secs(10));
+    net.run_for(Duration::from_secs(2));
+    assert!(net.leafs.last_start(LeafId(5)) <= out_at + NO_WORK_LIMIT);
+    assert_eq!(full_answers(&net, &tokens), tokens.len());
+}
+
+/// Nodes stop one after the other, each replaced first, and no request is cut or refused.
+#[test]
+fn planned_stop_harms_no_request() {
+    for seed in 0..5 {
+        let mut net = Net::start(Options {
+            seed,
+            ..Options::default()
+        });
+        let mut tokens = Vec::new();
+        for old in 0..6 {
+            net.add_node();
+            tokens.extend(load(&mut net, Duration::from_secs(4)));
+            net.stop(old);
+            tokens.extend(load(&mut net, Duration::from_secs(4)));
+            assert!(
+                net.nodes[old].stopped,
+                "node {old} has stopped, seed {seed}"
+            );
+            net.kill(old, false);
+        }
+        net.run_for(Duration::from_secs(3));
+        let full = full_answers(&net, &tokens);
+        assert_eq!(full, tokens.len(), "full answers, seed {seed}");
+    }
+}
+
+/// A stopping node ends what it has begun, orders included.
+#[test]
+fn planned_stop_ends_running_requests() {
+    let mut net = Net::start(Options::default());
+    net.leafs.service = Duration::from_millis(100);
+    let mut tokens = Vec::new();
+    for i in 0..5 {
+        tokens.push(net.request(2, "lookup", None));
+        tokens.push(net.request(2, "order", Some(&format!("find-{i}"))));
+    }
+    net.stop(2);
+    net.run_for(Duration::from_secs(5));
+    assert!(net.nodes[2].stopped);
+    for token in tokens {
+        assert!(
+            matches!(net.response(token), Some(Response::Answered(_))),
+            "{token:?}"
+        );
+    }
+}
+
+/// All nodes of a failure domain vanish at once: the others go on, and take their leafs over.
+#[test]
+fn node_domain_lost_and_replaced() {
+    for seed in 0..5 {
+        let mut net = Net::start(Options {
+            seed,
+            nodes: 8,
+            ..Options::default()
+        });
+        net.kill(1, true);
+        net.kill(5, true);
+        net.run_for(Duration::from_secs(9));
+        let tokens = load(&mut net, Duration::from_secs(3));
+        net.run_for(Duration::from_secs(2));
+        assert_eq!(
+            full_answers(&net, &tokens),
+            tokens.len(),
+            "after the loss, seed {seed}"
+        );
+        net.add_node();
+        net.add_node();
+        let tokens = load(&mut net, Duration::from_secs(8));
+        net.run_for(Duration::from_secs(2));
+        assert_eq!(
+            full_answers(&net, &tokens),
+            tokens.len(),
+            "during the return, seed {seed}"
+        );
+        net.assert_settled(8);
+    }
+}
+
+/// Nodes come and go at random for long; the roster always settles on the living ones.
+#[test]
+fn roster_settles_after_churn() {
+    for seed in 0..10 {
+        let mut net = Net::start(Options {
+            seed,
+            ..Options::default()
+        });
+        for _ in 0..12 {
+            if net.living().len() > 5 && net.rng.random_bool(0.5) {
+                let node = net.any_living();
+                let silently = net.rng.random_bool(0.5);
+                net.kill(node, silently);
+            } else {
+                net.add_node();
+            }
+            let pause = net.rng.random_range(0..3_000);
+            net.run_for(Duration::from_millis(pause));
+        }
+        net.run_for(Duration::from_secs(40));
+        net.assert_settled(net.living().len());
+    }
+}
--- a/crates/engine/tests/net/leafs.rs
+++ b/crates/engine/tests/net/leafs.rs
@@ -1,6 +1,6 @@
 //! Fake leafs that note every limit that nodes break.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,11 +36,13 @@
     snapshot: Snapshot,
     mode: LeafMode,
     /// Calls under way by node.
-    running: HashMap<usize, u32>,
+    running: BTreeMap<usize, u32>,
     /// Calls left until the leaf is warm.
     cold: u32,
     calls: u64,
     last_start: Time,
+    /// Service time of its own, if any.
+    slow: Option<Duration>,
 }
 
 /// `Leafs` are all leafs of a network.
@@ -89,6 +91,12 @@
         }
     }
 
+    pub fn set_slow(&mut self, leaf: LeafId, service: Duration) {
+        if let Some(leaf) = self.leafs.get_mut(&leaf) {
+            leaf.slow = Some(service);
+        }
+    }
+
     /// Makes every leaf cold for its next calls.
     pub fn chill_all(&mut self, calls: u32) {
         self.leafs.values_mut().for_each(|leaf| leaf.cold = calls);
@@ -138,7 +146,9 @@
         if let Some(key) = &call.key {
             *self.runs.entry(key.clone()).or_default() += 1;
         }
-        let span = if slow { service * 10 } else { service };
+        let span = leaf
+            .slow
+            .unwrap_or(if slow { service * 10 } else { service });
         let mut stamp = leaf.snapshot;
         if leaf.mode == LeafMode::WrongStamp {
             stamp.index = IndexVersion(stamp.index.0 + 7);
--- a/crates/engine/tests/net/mod.rs
+++ b/crates/engine/tests/net/mod.rs
@@ -8,7 +8,7 @@
 mod leafs;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +23,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+#[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use leafs::{LeafMode, Leafs};
 
 /// Name of the service in all tests.
@@ -183,7 +184,7 @@
     seq: u64,
     pub rng: SmallRng,
     pub nodes: Vec<Node>,
-    links: HashMap<u64, Link>,
+    links: BTreeMap<u64, Link>,
     next_link: u64,
     objects: BTreeMap<String, (u64, Bytes)>,
     revision: u64,
@@ -226,7 +227,7 @@
             seq: 0,
             rng: SmallRng::seed_from_u64(options.seed),
             nodes: Vec::new(),
-            links: HashMap::new(),
+            links: BTreeMap::new(),
             next_link: 0,
             objects: BTreeMap::new(),
             revision: 0,
@@ -442,6 +443,12 @@
         self.store_object(&map_key(SERVICE), Bytes::from(value));
     }
 
+    /// Returns the positions of living nodes that watch the store.
+    pub fn watchers(&self) -> Vec<usize> {
+        let watches = |n: &usize| !self.nodes[*n].watched.is_empty();
+        self.living().into_iter().filter(watches).collect()
+    }
+
     /// Returns the positions of living nodes.
     pub fn living(&self) -> Vec<usize> {
         (0..self.nodes.len())
@@ -449,6 +456,13 @@
             .collect()
     }
 
+    /// Returns a node at random that a balancer would choose: it is alive and says it is ready.
+    pub fn any_ready(&mut self) -> usize {
+        let ready = |n: &usize| self.nodes[*n].engine.is_ready(self.node_time(*n));
+        let ready: Vec<usize> = self.living().into_iter().filter(ready).collect();
+        ready[self.rng.random_range(0..ready.len())]
+    }
+
     /// Returns a living node at random.
     pub fn any_living(&mut self) -> usize {
         let living = self.living();
@@ -561,7 +575,8 @@
             }
             Event::StoreRead { node, key, asked } => {
                 if self.store_down || self.store_cut.contains(&node) {
-                    return;
+                    let failed = Event::Input(node, Input::ReadFailed(key));
+                    return self.push(Duration::from_secs(1), failed);
                 }
                 let object = self.object(&key);
                 self.input(node, Input::Object { key, object, asked });
--- /dev/null
+++ b/crates/engine/tests/repeatable.rs
@@ -0,0 +1,39 @@
+//! A run depends on its seed alone.
+
+mod net;
+
+use std::time::Duration;
+
+use net::{Net, Options};
+
+/// Runs a busy network and returns what happened in it.
+fn trace(seed: u64) -> Vec<String> {
+    let mut net = Net::start(Options { seed, ..Options::default() });
+    net.leafs.slow_share = 0.02;
+    for i in 0..200 {
+        let node = net.any_ready();
+        match i % 5 {
+            0 => net.request(node, "order", Some(&format!("key-{}", i / 2))),
+            _ => net.request(node, "lookup", None),
+        };
+        if i == 100 {
+            let lost = net.any_living();
+            net.kill(lost, false);
+        }
+        net.run_for(Duration::from_millis(7));
+    }
+    net.run_for(Duration::from_secs(10));
+    net.ended.iter().map(|ended| format!("{ended:?}")).collect()
+}
+
+#[test]
+fn run_repeats_with_same_seed() {
+    for seed in 0..3 {
+        assert_eq!(trace(seed), trace(seed), "seed {seed}");
+    }
+}
+
+#[test]
+fn run_differs_with_other_seed() {
+    assert_ne!(trace(1), trace(2));
+}
--- /dev/null
+++ b/crates/engine/tests/snapshot.rs
@@ -0,0 +1,216 @@
+//! Every answer comes from one snapshot, and its coverage is true.
+
+mod net;
+
+use std::time::Duration;
+
+use monsoondeal_config::{Edit, ServiceMap};
+use monsoondeal_core::{IndexVersion, LeafId, MapVersion};
+use monsoondeal_engine::io::{Response, Token};
+use net::{LeafMode, Net, Options, first_map};
+use rand::RngExt;
+use rstest::rstest;
+
+/// Checks an answer against the stamps in its parts. Returns whether there was one.
+fn check_answer(net: &Net, token: Token, groups: &[usize]) -> bool {
+    let Some(Response::Answered(answer)) = net.response(token) else {
+        return false;
+    };
+    assert_eq!(
+        answer.parts.len() as u32,
+        answer.coverage.answered,
+        "parts are counted"
+    );
+    assert!(
+        groups.contains(&(answer.coverage.total as usize)),
+        "total {:?}",
+        answer.coverage
+    );
+    let mut seen = Vec::new();
+    for (group, part) in &answer.parts {
+        let part: (u32, u64, u64, serde_json::Value) =
+            serde_json::from_slice(part).expect("parts are JSON");
+        assert_eq!(part.0, *group, "part of group {group} comes from it");
+        assert_eq!(
+            part.1, answer.snapshot.index.0,
+            "version of the data in group {group}"
+        );
+        assert_eq!(
+            part.2, answer.snapshot.map.0,
+            "partition map in group {group}"
+        );
+        assert_eq!(part.3["token"], token.0, "part belongs to the request");
+        assert!(!seen.contains(group), "group {group} counts once");
+        seen.push(*group);
+    }
+    assert_eq!(
+        answer.lost.len() + answer.parts.len(),
+        answer.coverage.total as usize
+    );
+    true
+}
+
+/// Sends requests while `change` happens in their middle, and returns the share of full answers.
+fn run_changes<F>(seed: u64, groups: &[usize], mut change: F) -> f64
+where
+    F: FnMut(&mut Net, usize),
+{
+    let mut net = Net::start(Options {
+        seed,
+        ..Options::default()
+    });
+    let mut tokens = Vec::new();
+    for round in 0..10 {
+        for i in 0..40 {
+            let node = net.any_living();
+            tokens.push(net.request(node, "lookup", None));
+            if i == 20 {
+                change(&mut net, round);
+            }
+            let pause = net.rng.random_range(200..6_000);
+            net.run_for(Duration::from_micros(pause));
+        }
+        net.run_for(Duration::from_secs(5));
+    }
+    net.run_for(Duration::from_secs(5));
+    let answered = tokens
+        .iter()
+        .filter(|t| check_answer(&net, **t, groups))
+        .count();
+    assert!(answered > 0, "something was answered, seed {seed}");
+    let full = |t: &&Token| match net.response(**t) {
+        Some(Response::Answered(answer)) => answer.coverage.is_full(),
+        _ => false,
+    };
+    tokens.iter().filter(full).count() as f64 / tokens.len() as f64
+}
+
+/// Moves every leaf to the next version of the data, in the middle of queries.
+fn next_index(net: &mut Net, round: usize) {
+    let mut map = first_map(8, 1);
+    map.snapshot.index = IndexVersion(round as u64 + 2);
+    net.publish_map(&map);
+}
+
+/// Spreads the data over another number of groups and other leafs.
+fn repartition(net: &mut Net, round: usize) {
+    let groups = if round.is_multiple_of(2) { 12 } else { 8 };
+    let mut map: ServiceMap = first_map(groups, 100 * (round as u64 + 1));
+    map.snapshot.map = MapVersion(round as u64 + 2);
+    net.publish_map(&map);
+}
+
+fn lose_replicas(net: &mut Net, round: usize) {
+    for leaf in 1..=16 {
+        let lost = leaf % 5 == round as u64 % 5;
+        net.leafs.set_mode(
+            LeafId(leaf),
+            if lost { LeafMode::Gone } else { LeafMode::Good },
+        );
+    }
+}
+
+fn stamp_wrongly(net: &mut Net, round: usize) {
+    for leaf in 1..=16 {
+        let wrong = leaf % 4 == round as u64 % 4;
+        let mode = if wrong {
+            LeafMode::WrongStamp
+        } else {
+            LeafMode::Good
+        };
+        net.leafs.set_mode(LeafId(leaf), mode);
+    }
+}
+
+fn kill_node(net: &mut Net, round: usize) {
+    if round.is_multiple_of(3) {
+        let node = net.any_living();
+        net.kill(node, true);
+        net.add_node();
+    }
+}
+
+#[rstest]
+#[case::index_moves(next_index, &[8])]
+#[case::repartition(repartition, &[8, 12])]
+#[case::replicas_lost(lose_replicas, &[8])]
+#[case::wrong_stamps(stamp_wrongly, &[8])]
+#[case::nodes_killed(kill_node, &[8])]
+fn answer_from_one_snapshot(#[case] change: fn(&mut Net, usize), #[case] groups: &[usize]) {
+    for seed in 0..6 {
+        run_changes(seed, groups, change);
+    }
+}
+
+/// With one replica of each group lost, the other one answers: coverage stays full.
+#[test]
+fn coverage_full_with_one_replica_lost() {
+    let full = run_changes(3, &[8], |net, _| {
+        for group in 0..8_u64 {
+            net.leafs.set_mode(LeafId(1 + group * 2), LeafMode::Gone);
+        }
+    });
+    assert!(full >= 0.99, "share of full answers {full}");
+}
+
+/// A group whose replicas are all lost is missing from the count, never from the total.
+#[test]
+fn coverage_counts_lost_group() {
+    let mut net = Net::start(Options::default());
+    net.leafs.set_mode(LeafId(1), LeafMode::Gone);
+    net.leafs.set_mode(LeafId(2), LeafMode::Gone);
+    let token = net.request(0, "lookup", None);
+    net.run_for(Duration::from_secs(2));
+    let Some(Response::Answered(answer)) = net.response(token) else {
+        panic!("no answer")
+    };
+    assert_eq!((answer.coverage.answered, answer.coverage.total), (7, 8));
+    assert_eq!(answer.lost[0].0, 0);
+}
+
+/// Leafs that an operator has taken out count as missing where no other replica is left.
+#[test]
+fn coverage_counts_groups_out() {
+    let mut net = Net::start(Options::default());
+    net.edit(Edit::LeafOut { leaf: LeafId(1) });
+    net.edit(Edit::LeafOut { leaf: LeafId(2) });
+    net.run_for(Duration::from_secs(2));
+    let token = net.request(0, "lookup", None);
+    net.run_for(Duration::from_secs(2));
+    let Some(Response::Answered(answer)) = net.response(token) else {
+        panic!("no answer")
+    };
+    assert_eq!((answer.coverage.answered, answer.coverage.total), (7, 8));
+}
+
+/// At the deadline the query answers with what it has.
+#[test]
+fn coverage_partial_at_deadline() {
+    let mut net = Net::start(Options::default());
+    net.edit(Edit::Set {
+        level: "/rilegatoria/catalogue".parse().expect("a level"),
+        setting: "deadline_ms".to_owned(),
+        value: 50.into(),
+    });
+    net.run_for(Duration::from_secs(2));
+    for leaf in [1, 2] {
+        net.leafs.set_slow(LeafId(leaf), Duration::from_millis(900));
+    }
+    let start = net.now;
+    let token = net.request(0, "lookup", None);
+    net.run_for(Duration::from_secs(3));
+    let ended = net
+        .ended
+        .iter()
+        .find(|e| e.token == token)
+        .expect("the query ends");
+    assert!(
+        ended.at.since(start) <= Duration::from_millis(51),
+        "{:?}",
+        ended.at.since(start)
+    );
+    let Some(Response::Answered(answer)) = net.response(token) else {
+        panic!("no answer")
+    };
+    assert_eq!((answer.coverage.answered, answer.coverage.total), (7, 8));
+}
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -287,16 +287,20 @@
 
     /// Estimates the wait of a new call behind those of its own and higher priorities.
     fn expected_wait(&self, priority: Priority) -> Duration {
-        let ahead: usize = self.queues[..=priority.index()]
+        let waiting: usize = self.queues[..=priority.index()]
             .iter()
             .map(VecDeque::len)
             .sum();
-        let turns = (ahead + 1) as f64 / f64::from(self.limit().max(1));
-        let mut step = self.service;
-        if self.is_cold() {
-            step = step.max(self.settings.cold_gap.as_secs_f64());
-        }
-        Duration::from_secs_f64(turns * step)
+        let turns = waiting as f64 + 1.0;
+        let warm_step = self.service / f64::from(self.settings.slots.max(1));
+        let Heat::Cold { good } = self.heat else {
+            return Duration::from_secs_f64(turns * warm_step);
+        };
+        // The queue moves slowly until the leaf is warm, then fast.
+        let gap = self.settings.cold_gap.as_secs_f64();
+        let cold_step = gap.max(self.service / f64::from(self.settings.cold_slots.max(1)));
+        let cold_turns = turns.min(f64::from(self.settings.warm_after.saturating_sub(good)));
+        Duration::from_secs_f64(cold_turns * cold_step + (turns - cold_turns) * warm_step)
     }
 
     fn learn(&mut self, service: Duration) {
--- a/crates/member/src/cell.rs
+++ b/crates/member/src/cell.rs
@@ -16,10 +16,9 @@
 //! Nothing is voted on or stored by the members. While the store is down rosters stand still and
 //! holders go on, as long as they hear a majority of their cell.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use monsoondeal_core::{Epoch, LeafSeat, NodeId, Time};
+use monsoondeal_core::{Epoch, FixedMap, LeafSeat, NodeId, Time};
 use serde::{Deserialize, Serialize};
 
 use crate::roster::{Member, Roster, blocking, majority};
@@ -60,6 +59,8 @@
     pub drained: Epoch,
     /// Whether the node is stopping and wants to leave the roster.
     pub leaving: bool,
+    /// Whether the node has had an answer from the store of late.
+    pub store: bool,
 }
 
 /// `Lease` tells whether a node may act on a leaf that the placement gives it.
@@ -91,13 +92,14 @@
     roster: Roster,
     /// Since when the present roster is known.
     since: Time,
-    peers: HashMap<NodeId, Peer>,
+    peers: FixedMap<NodeId, Peer>,
     /// When the newest read of the store that returned the present epoch was asked for.
     stored: Option<Time>,
     /// When no majority of the previous roster was left that might not know the present epoch.
     fenced_at: Option<Time>,
     drained: Epoch,
     leaving: bool,
+    store: bool,
 }
 
 impl Cell {
@@ -108,11 +110,12 @@
             me,
             roster: Roster::default(),
             since: Time::default(),
-            peers: HashMap::new(),
+            peers: FixedMap::default(),
             stored: None,
             fenced_at: None,
             drained: Epoch::default(),
             leaving: false,
+            store: false,
         }
     }
 
@@ -137,9 +140,23 @@
             known: self.roster.epoch,
             drained: self.drained,
             leaving: self.leaving,
+            store: self.store,
         }
     }
 
+    /// Sets whether this node has had an answer from the store of late.
+    pub fn set_store(&mut self, store: bool) {
+        self.store = store;
+    }
+
+    /// Returns the living members that say that they reach the store, in order.
+    pub fn reaching_store(&self, now: Time) -> Vec<NodeId> {
+        let members = self.roster.members.iter().map(|m| m.node);
+        members
+            .filter(|&node| self.is_alive(node, now) && self.said(node).store)
+            .collect()
+    }
+
     /// Marks the node as leaving.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -260,16 +277,19 @@
         (!same && !members.is_empty()).then(|| self.roster.next(members, seats.to_vec()))
     }
 
-    /// Returns whether the node hears enough of the roster to be of use as a member.
-    pub fn may_join(&self, now: Time) -> bool {
-        let alive = self
-            .roster
-            .members
+    /// Returns whether the node hears so many members that the others are no majority.
+    pub fn hears_cell(&self, now: Time) -> bool {
+        let members = &self.roster.members;
+        let alive = members
             .iter()
             .filter(|m| self.is_alive(m.node, now))
             .count();
-        !self.leaving
-            && (self.roster.members.is_empty() || alive >= blocking(self.roster.members.len()))
+        !members.is_empty() && alive >= blocking(members.len())
+    }
+
+    /// Returns whether the node may add itself to the roster: it would be of use as a member.
+    pub fn may_join(&self, now: Time) -> bool {
+        !self.leaving && (self.roster.members.is_empty() || self.hears_cell(now))
     }
 
     /// Forgets peers that are in no roster.
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -237,7 +237,7 @@
                 let _ = sender.send(self.metrics.export(self.engine.counts()));
             }
             Event::Ready(sender) => {
-                let ready = self.engine.is_ready() && self.stop == Stop::Running;
+                let ready = self.engine.is_ready(self.clock.now());
                 let _ = sender.send(ready);
             }
             Event::Stop => self.start_stop(),
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -21,7 +21,9 @@
 
 /// How long a watch waits at the store.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// Longest time for a read or a write.
+/// Longest time for a read.
+const READ_LIMIT: Duration = Duration::from_secs(1);
+/// Longest time for a write, and for a watch beyond its wait.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
 /// Wait after a failed watch, in milliseconds; doubled up to the limit, with jitter.
 const RETRY_FIRST_MILLIS: u64 = 100;
@@ -69,7 +71,7 @@
     /// If there is no answer in time, or none that can be read.
     pub async fn read(&self, key: &str) -> Result<Option<Object>, StoreError> {
         let url = format!("{}/v1/objects/{key}", self.base);
-        let found = within(CALL_LIMIT, self.get(&url)).await?;
+        let found = within(READ_LIMIT, self.get(&url)).await?;
         Ok(found.flatten())
     }
 
@@ -172,7 +174,10 @@
     let asked = clock.now();
     match store.read(&key).await {
         Ok(object) => send(&events, Event::Input(Input::Object { key, object, asked })),
-        Err(error) => log::warn!("read of '{key}' failed: {error}"),
+        Err(error) => {
+            log::warn!("read of '{key}' failed: {error}");
+            send(&events, Event::Input(Input::ReadFailed(key)));
+        }
     }
 }
 
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -6,9 +6,9 @@
 //! the leaf's group, is passed over. The load bound keeps a node within [`LOAD_FACTOR`] times the
 //! mean, and the scores keep moves few when the roster changes.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 
-use monsoondeal_core::{LeafId, LeafSeat, NodeId};
+use monsoondeal_core::{FixedMap, LeafId, LeafSeat, NodeId};
 use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
 
 /// Largest load of a node as a multiple of the mean, where the mean is at least 4 leafs.
@@ -39,7 +39,7 @@
 /// `Placement` maps each leaf to the node that should hold its lease.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Placement {
-    holders: HashMap<LeafId, NodeId>,
+    holders: FixedMap<LeafId, NodeId>,
 }
 
 impl Placement {
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -1,9 +1,8 @@
 //! What a node knows of each leaf from its own calls, and the choice between replicas.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use monsoondeal_core::{LeafId, Time};
+use monsoondeal_core::{FixedMap, LeafId, Time};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -43,7 +42,7 @@
 #[derive(Debug)]
 pub struct Replicas {
     settings: ReplicaSettings,
-    records: HashMap<LeafId, Record>,
+    records: FixedMap<LeafId, Record>,
     /// Drives exploration and ties; seeded, so that a run can be repeated.
     rng: SmallRng,
 }
@@ -53,7 +52,7 @@
     pub fn new(settings: ReplicaSettings, seed: u64) -> Self {
         Self {
             settings,
-            records: HashMap::new(),
+            records: FixedMap::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
