Recover a cell that lost most of its members, keep trying moved leases

The list alone is not believed: a node that is heard is never gone.

A planned stop refused an order whose replicas' leases both moved at the time: groups were given up after 8 refusals, about 15 ms. Groups are now tried for 250 ms, orders until their deadline; refusals for overload still end at once.

--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -3,7 +3,7 @@
 //! A change is checked against the very tree that its conditional update replaces, so a write by an
 //! owner whose say was handed over meanwhile fails the check or the update, whichever comes first.
 
-use monsoondeal_core::{Findings, LeafId, TreeVersion};
+use monsoondeal_core::{Findings, LeafId, NodeId, TreeVersion};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -92,6 +92,11 @@
         /// The leaf.
         leaf: LeafId,
     },
+    /// Declares a node gone for good, so that its leases need not be waited for.
+    NodeGone {
+        /// The node.
+        node: NodeId,
+    },
 }
 
 impl Tree {
@@ -191,6 +196,7 @@
             Edit::LeafOut { leaf } => {
                 change_set(self.leaving.insert(*leaf), "leaf is leaving already")
             }
+            Edit::NodeGone { node } => change_set(self.gone.insert(*node), "node is gone already"),
             Edit::LeafIn { leaf } => change_set(self.leaving.remove(leaf), "leaf is not leaving"),
         }
     }
--- a/crates/config/src/node.rs
+++ b/crates/config/src/node.rs
@@ -14,6 +14,8 @@
     pub cell: String,
     /// Failure domain that the node runs in.
     pub domain: String,
+    /// Name of the VM in the platform's list; empty if there is none.
+    pub vm: String,
     /// Where callers connect. Port 0 takes a free port.
     pub callers: SocketAddr,
     /// Where other nodes connect; also the address announced to them.
@@ -40,6 +42,7 @@
         Self {
             cell: "main".to_owned(),
             domain: "default".to_owned(),
+            vm: String::new(),
             callers: any,
             peers: any,
             admin: any,
@@ -67,6 +70,7 @@
         let base = Self::default();
         let cell = reader.name("cell");
         let domain = reader.name("domain");
+        let vm = reader.name("vm");
         let store = read_store(reader);
         let (callers, peers, admin) = reader
             .object("listen", read_listen)
@@ -82,6 +86,7 @@
             callers: callers.unwrap_or(base.callers),
             peers: peers.unwrap_or(base.peers),
             admin: admin.unwrap_or(base.admin),
+            vm: vm.unwrap_or(base.vm),
             store: reader.require("store", store).unwrap_or(base.store),
             seeds: seeds.unwrap_or(base.seeds),
             drain: drain.unwrap_or(base.drain),
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use monsoondeal_core::{Findings, LeafId, RequestKind, TreeVersion};
+use monsoondeal_core::{Findings, LeafId, NodeId, RequestKind, TreeVersion};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -150,6 +150,9 @@
     pub domains_out: BTreeSet<String>,
     /// Leafs that are leaving.
     pub leaving: BTreeSet<LeafId>,
+    /// Nodes that operators have declared gone for good.
+    #[serde(default)]
+    pub gone: BTreeSet<NodeId>,
     /// The latest accepted changes, newest last, so that a writer whose reply was lost can tell.
     pub recent: VecDeque<ChangeId>,
 }
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -13,6 +13,7 @@
 use monsoondeal_member::Roster;
 use monsoondeal_route::{Placement, Plan, PlanGroup, place, seat};
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 use crate::engine::{Engine, Timer};
 use crate::io::{LinkId, Object, Output};
@@ -30,6 +31,19 @@
 /// Key of the tree in the store.
 pub const TREE_KEY: &str = "tree";
 
+/// Key of the platform's list of VMs in the store.
+pub const VMS_KEY: &str = "vms";
+
+/// `VmList` is the platform's list of VMs, by name. It lags.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmList {
+    /// VMs that run.
+    pub live: BTreeSet<String>,
+    /// VMs that are about to end.
+    #[serde(default)]
+    pub leaving: BTreeSet<String>,
+}
+
 /// Returns the key of a cell's roster in the store.
 pub fn roster_key(cell: &str) -> String {
     format!("roster/{cell}")
@@ -256,6 +270,12 @@
                 news.roster = Some(roster.clone());
             }
             self.cell.on_store_read(asked, roster.epoch);
+        } else if key == VMS_KEY {
+            let Some(vms) = self.parse::<VmList>(key, object.as_ref()) else {
+                return;
+            };
+            self.cell
+                .set_vms(vms.live.into_iter().chain(vms.leaving).collect());
         } else if let Some(object) = &object {
             let Some(map) = self.parse::<ServiceMap>(key, Some(object)) else {
                 return;
@@ -296,7 +316,7 @@
         self.timers
             .set(Timer::Control, now + self.cell.settings().heartbeat / 2);
         self.purge_retired(now);
-        self.cell.forget_strangers();
+        self.cell.refresh(now);
         self.update_peers(now, out);
         self.update_roles(now, out);
     }
@@ -359,6 +379,7 @@
         if known.is_some_and(|known| tree.version <= known) {
             return false;
         }
+        self.cell.set_declared(tree.gone.clone());
         self.config.tree = Some(Rc::new(tree));
         self.rebuild_plans();
         self.update_gate_settings();
@@ -431,8 +452,8 @@
             ..Seats::default()
         };
         if let Some(previous) = &roster.previous {
-            seats.leafs_before = place(&previous.nodes, &previous.seats);
-            seats.keys_before = place(&previous.nodes, &key_seats);
+            seats.leafs_before = place(&previous.nodes(), &previous.seats);
+            seats.keys_before = place(&previous.nodes(), &key_seats);
         }
         self.seats = seats;
     }
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -76,7 +76,8 @@
 /// State of the entry side.
 #[derive(Debug)]
 pub(crate) struct Entry {
-    next_id: u64,
+    /// Identity of the next call, order or query.
+    next_id: CallId,
     queries: FixedMap<QueryId, Live>,
     calls: FixedMap<CallId, (QueryId, Target)>,
     orders: FixedMap<CallId, Pending>,
@@ -90,7 +91,7 @@
 impl Entry {
     pub(crate) fn new(settings: &EngineSettings) -> Self {
         Self {
-            next_id: 0,
+            next_id: CallId(0),
             queries: FixedMap::default(),
             calls: FixedMap::default(),
             orders: FixedMap::default(),
@@ -242,8 +243,7 @@
         now: Time,
         out: &mut Vec<Output>,
     ) -> QueryId {
-        let id = self.take_ids(1);
-        let first_call = CallId(self.take_ids(Query::<Bytes>::max_calls(&plan)));
+        let id = self.take_id().0;
         let budget: Rc<str> = format!("{}/{}", request.service, request.kind).into();
         let ratio = resolved.kind.hedge_ratio;
         let hedges = self.entry.hedges.entry(budget.clone());
@@ -253,6 +253,7 @@
 
         let mut actions = Vec::new();
         let mut env = Env {
+            next_call: &mut self.entry.next_id,
             replicas: &mut self.entry.replicas,
             hedges: self
                 .entry
@@ -261,7 +262,7 @@
                 .expect("budget was inserted above"),
             retries: &mut self.entry.retries,
         };
-        let query = Query::start(plan, settings, first_call, now, &mut env, &mut actions);
+        let query = Query::start(plan, settings, now, &mut env, &mut actions);
         let live = Live {
             purpose,
             query,
@@ -349,6 +350,7 @@
             return;
         };
         let mut env = Env {
+            next_call: &mut entry.next_id,
             replicas: &mut entry.replicas,
             hedges,
             retries: &mut entry.retries,
@@ -471,10 +473,10 @@
         out.push(Output::Respond(token, response));
     }
 
-    fn take_ids(&mut self, count: u64) -> u64 {
-        let first = self.entry.next_id;
-        self.entry.next_id += count;
-        first
+    fn take_id(&mut self) -> CallId {
+        let id = self.entry.next_id;
+        self.entry.next_id.0 += 1;
+        id
     }
 
     // Orders: requests that may run at most once, on their way to the home of their key.
@@ -492,7 +494,7 @@
         if now < self.control.suspect_until {
             return self.respond(request.token, Response::Unknown(Doubt::EarlierRun), out);
         }
-        let call = CallId(self.take_ids(1));
+        let call = self.take_id();
         let order = Order {
             call,
             service: request.service,
--- a/crates/engine/src/home.rs
+++ b/crates/engine/src/home.rs
@@ -256,6 +256,7 @@
         let settings = QuerySettings {
             deadline: now + Duration::from_micros(order.budget),
             repeatable: false,
+            patience: Duration::from_micros(order.budget),
             ..QuerySettings::default()
         };
         let job = HomeJob {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,7 +23,7 @@
 mod roles;
 mod timers;
 
-pub use control::{TREE_KEY, map_key, roster_key};
+pub use control::{TREE_KEY, VMS_KEY, VmList, map_key, roster_key};
 pub use counts::Counts;
 pub use engine::{Engine, EngineSettings};
 pub use entry::BODY_LIMIT;
--- a/crates/engine/src/roles.rs
+++ b/crates/engine/src/roles.rs
@@ -12,7 +12,7 @@
 use monsoondeal_core::{Epoch, NodeId, Time};
 use monsoondeal_member::Roster;
 
-use crate::control::{TREE_KEY, map_key, roster_key};
+use crate::control::{TREE_KEY, VMS_KEY, map_key, roster_key};
 use crate::engine::Engine;
 use crate::io::Output;
 
@@ -117,6 +117,7 @@
         let mut wanted = BTreeSet::new();
         if watches {
             wanted.insert(TREE_KEY.to_owned());
+            wanted.insert(VMS_KEY.to_owned());
             wanted.insert(roster_key(&self.settings.cell));
             if let Some(tree) = &self.config.tree {
                 wanted.extend(tree.cell_services(&self.settings.cell).map(map_key));
--- a/crates/member/src/cell.rs
+++ b/crates/member/src/cell.rs
@@ -16,13 +16,16 @@
 //! Nothing is voted on or stored by the members. While the store is down rosters stand still and
 //! holders go on, as long as they hear a majority of their cell.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use monsoondeal_core::{Epoch, FixedMap, LeafSeat, NodeId, Time};
 use serde::{Deserialize, Serialize};
 
-use crate::roster::{Member, Roster, blocking, majority};
+use crate::roster::{Member, Previous, Roster, blocking, majority};
 
+/// A node that is absent from the platform's list counts as gone after this many spans of silence.
+const GONE_SILENCES: u32 = 5;
 /// Allowance for clocks that run at different rates.
 const DRIFT: f64 = 1.05;
 
@@ -90,8 +93,8 @@
     settings: CellSettings,
     me: Member,
     roster: Roster,
-    /// Since when the present roster is known.
-    since: Time,
+    /// Since when the members of the present roster could be heard.
+    first_seen: Time,
     peers: FixedMap<NodeId, Peer>,
     /// When the newest read of the store that returned the present epoch was asked for.
     stored: Option<Time>,
@@ -100,6 +103,10 @@
     drained: Epoch,
     leaving: bool,
     store: bool,
+    /// VMs that the platform shows, once that is known.
+    vms: Option<BTreeSet<String>>,
+    /// Nodes that operators have declared gone.
+    declared: BTreeSet<NodeId>,
 }
 
 impl Cell {
@@ -109,13 +116,15 @@
             settings,
             me,
             roster: Roster::default(),
-            since: Time::default(),
+            first_seen: Time::default(),
             peers: FixedMap::default(),
             stored: None,
             fenced_at: None,
             drained: Epoch::default(),
             leaving: false,
             store: false,
+            vms: None,
+            declared: BTreeSet::new(),
         }
     }
 
@@ -149,6 +158,16 @@
         self.store = store;
     }
 
+    /// Takes in the platform's list of VMs.
+    pub fn set_vms(&mut self, vms: BTreeSet<String>) {
+        self.vms = Some(vms);
+    }
+
+    /// Takes in the nodes that operators have declared gone.
+    pub fn set_declared(&mut self, nodes: BTreeSet<NodeId>) {
+        self.declared = nodes;
+    }
+
     /// Returns the living members that say that they reach the store, in order.
     pub fn reaching_store(&self, now: Time) -> Vec<NodeId> {
         let members = self.roster.members.iter().map(|m| m.node);
@@ -165,17 +184,21 @@
     /// Takes in a roster from the store or a peer. Returns whether it is news; an older or equal one
     /// is ignored.
     pub fn learn(&mut self, roster: Roster, now: Time) -> bool {
-        let settles = roster.epoch == self.roster.epoch
-            && roster.previous.is_none()
-            && self.roster.previous.is_some();
-        if roster.epoch <= self.roster.epoch && !settles {
+        if roster.epoch < self.roster.epoch {
             return false;
         }
-        if !settles {
-            self.since = now;
-            self.fenced_at = None;
-            self.stored = None;
+        if roster.epoch == self.roster.epoch {
+            if !roster.is_later_state(&self.roster) {
+                return false;
+            }
+            self.roster = roster;
+            return true;
+        }
+        if roster.members.iter().any(|m| !self.roster.contains(m.node)) {
+            self.first_seen = now;
         }
+        self.fenced_at = None;
+        self.stored = None;
         self.roster = roster;
         self.note_fence(now);
         true
@@ -220,7 +243,7 @@
         if self.roster.previous.is_none() || before == self.me.node {
             return Lease::Held;
         }
-        if self.said(before).drained >= self.roster.epoch || self.is_fenced(now) {
+        if self.has_drained(before, now) || self.is_fenced(now) {
             return Lease::Held;
         }
         Lease::Waiting
@@ -249,12 +272,31 @@
 
     /// Returns whether the peer has been silent for too long.
     pub fn is_silent(&self, node: NodeId, now: Time) -> bool {
-        let heard = self
-            .peers
-            .get(&node)
-            .and_then(|p| p.heard)
-            .unwrap_or(self.since);
-        now >= heard.max(self.since) + self.settings.silence
+        self.silence(node, now) >= self.settings.silence
+    }
+
+    /// Returns whether a node is gone for good: operators or the platform say so, and it is silent.
+    ///
+    /// The platform's list lags, so a VM that it has shown and shows no more ended a while ago.
+    fn is_gone(&self, member: &Member, now: Time) -> bool {
+        if member.node == self.me.node {
+            return false;
+        }
+        let unlisted = self
+            .vms
+            .as_ref()
+            .is_some_and(|vms| !vms.contains(&member.vm));
+        // A process on the same VM has taken this one's place.
+        let replaced = !member.vm.is_empty() && member.vm == self.me.vm;
+        let absent = self.declared.contains(&member.node) || (member.listed && unlisted);
+        let span = self.settings.silence * GONE_SILENCES;
+        (absent || replaced) && self.silence(member.node, now) >= span
+    }
+
+    /// Returns for how long a node has not been heard, or since its roster is known.
+    fn silence(&self, node: NodeId, now: Time) -> Duration {
+        let heard = self.peers.get(&node).and_then(|p| p.heard);
+        now.since(heard.unwrap_or_default().max(self.first_seen))
     }
 
     /// Returns whether the peer is taken for alive: heard within the span of silence.
@@ -268,13 +310,25 @@
     /// store still holding the present roster.
     pub fn proposal(&self, joining: &[Member], seats: &[LeafSeat], now: Time) -> Option<Roster> {
         if self.roster.previous.is_some() {
-            return self.is_settled(now).then(|| self.roster.settled());
+            return self.is_settled(now).then(|| {
+                let mut settled = self.roster.settled();
+                self.mark_listed(&mut settled.members);
+                settled
+            });
         }
-        let members = self.wanted(joining, now);
+        let mut members = self.wanted(joining, now);
+        self.mark_listed(&mut members);
         let same = members.len() == self.roster.members.len()
             && members.iter().all(|m| self.roster.contains(m.node))
             && seats == self.roster.seats;
-        (!same && !members.is_empty()).then(|| self.roster.next(members, seats.to_vec()))
+        if !same {
+            return (!members.is_empty()).then(|| self.roster.next(members, seats.to_vec()));
+        }
+        let marked = Roster {
+            members,
+            ..self.roster.clone()
+        };
+        marked.is_later_state(&self.roster).then_some(marked)
     }
 
     /// Returns whether the node hears so many members that the others are no majority.
@@ -287,15 +341,24 @@
         !members.is_empty() && alive >= blocking(members.len())
     }
 
-    /// Returns whether the node may add itself to the roster: it would be of use as a member.
+    /// Returns whether the node may add itself to the roster: the members that it neither hears nor
+    /// knows to be gone are no majority.
     pub fn may_join(&self, now: Time) -> bool {
-        !self.leaving && (self.roster.members.is_empty() || self.hears_cell(now))
+        let lost = |m: &&Member| !self.is_alive(m.node, now) && !self.is_gone(m, now);
+        let lost = self.roster.members.iter().filter(lost).count();
+        let count = self.roster.members.len();
+        !self.leaving && (count == 0 || lost < majority(count))
     }
 
-    /// Forgets peers that are in no roster.
-    pub fn forget_strangers(&mut self) {
+    /// Looks again at what time alone changes, and forgets peers that are in no roster.
+    pub fn refresh(&mut self, now: Time) {
+        self.note_fence(now);
         let Self { roster, peers, .. } = self;
-        let previous = roster.previous.as_ref().map_or(&[][..], |p| &p.nodes);
+        let previous = roster
+            .previous
+            .as_ref()
+            .map(Previous::nodes)
+            .unwrap_or_default();
         peers.retain(|node, _| roster.contains(*node) || previous.contains(node));
     }
 
@@ -308,7 +371,10 @@
         };
         let mut members: Vec<Member> = self.roster.members.iter().filter(stays).cloned().collect();
         // A node that is cut off from most of the others must not remove them.
-        if members.len() < blocking(self.roster.members.len()) {
+        let removed = |m: &&Member| !members.iter().any(|kept| kept.node == m.node);
+        let removed = self.roster.members.iter().filter(removed);
+        let lost = removed.filter(|m| !self.has_left(m, now)).count();
+        if lost >= majority(self.roster.members.len()) {
             members.clone_from(&self.roster.members);
         }
         let new = joining.iter().filter(|m| !self.roster.contains(m.node));
@@ -316,6 +382,30 @@
         members
     }
 
+    /// Returns whether a member has left by its own word or is gone.
+    fn has_left(&self, member: &Member, now: Time) -> bool {
+        self.said(member.node).leaving || self.is_gone(member, now)
+    }
+
+    fn mark_listed(&self, members: &mut [Member]) {
+        let Some(vms) = &self.vms else { return };
+        for member in members {
+            member.listed |= vms.contains(&member.vm);
+        }
+    }
+
+    /// Returns whether a node of the previous epoch has no call under way on a leaf that it lost.
+    fn has_drained(&self, node: NodeId, now: Time) -> bool {
+        let members = self
+            .roster
+            .previous
+            .as_ref()
+            .map_or(&[][..], |p| &p.members);
+        let member = members.iter().find(|m| m.node == node);
+        let gone = member.is_some_and(|m| self.is_gone(m, now));
+        gone || self.said(node).drained >= self.roster.epoch
+    }
+
     fn said(&self, node: NodeId) -> Heartbeat {
         if node == self.me.node {
             return self.heartbeat();
@@ -323,18 +413,16 @@
         self.peers.get(&node).map(|p| p.said).unwrap_or_default()
     }
 
-    /// Records when enough of the previous roster was first seen to know the present epoch.
+    /// Records when enough of the previous roster was first seen to know the present epoch, or to be
+    /// gone.
     fn note_fence(&mut self, now: Time) {
         let Some(previous) = &self.roster.previous else {
             return;
         };
         let epoch = self.roster.epoch;
-        let know = previous
-            .nodes
-            .iter()
-            .filter(|&&node| self.said(node).known >= epoch)
-            .count();
-        if self.fenced_at.is_none() && know >= blocking(previous.nodes.len()) {
+        let known = |m: &&Member| self.said(m.node).known >= epoch || self.is_gone(m, now);
+        let count = previous.members.iter().filter(known).count();
+        if self.fenced_at.is_none() && count >= blocking(previous.members.len()) {
             self.fenced_at = Some(now);
         }
     }
@@ -348,11 +436,10 @@
         let Some(previous) = &self.roster.previous else {
             return true;
         };
-        let epoch = self.roster.epoch;
         self.is_fenced(now)
             || previous
-                .nodes
+                .members
                 .iter()
-                .all(|&node| self.said(node).drained >= epoch)
+                .all(|m| self.has_drained(m.node, now))
     }
 }
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -16,17 +16,30 @@
     pub admin: SocketAddr,
     /// Failure domain.
     pub domain: String,
+    /// Name of its VM in the platform's list; empty if it is not known.
+    #[serde(default)]
+    pub vm: String,
+    /// Whether the platform's list has shown the VM. Only then does its absence tell anything.
+    #[serde(default)]
+    pub listed: bool,
 }
 
 /// `Previous` is what the placement of the epoch before was computed from.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Previous {
     /// Its members.
-    pub nodes: Vec<NodeId>,
+    pub members: Vec<Member>,
     /// Its seats.
     pub seats: Vec<LeafSeat>,
 }
 
+impl Previous {
+    /// Returns the identities of the members.
+    pub fn nodes(&self) -> Vec<NodeId> {
+        self.members.iter().map(|m| m.node).collect()
+    }
+}
+
 /// `Roster` lists the members of a cell and the leafs that they hold in one epoch. The placement
 /// follows from it alone, so that all nodes that know an epoch agree on every holder.
 ///
@@ -70,7 +83,7 @@
         seats.sort_unstable();
         seats.dedup();
         let previous = Previous {
-            nodes: self.nodes(),
+            members: self.members.clone(),
             seats: self.seats.clone(),
         };
         let previous = (!self.members.is_empty()).then_some(previous);
@@ -82,6 +95,17 @@
         }
     }
 
+    /// Returns whether this is a later state of `other` in the same epoch: the epoch before has ended,
+    /// or more members have been seen in the platform's list.
+    pub fn is_later_state(&self, other: &Self) -> bool {
+        let listed = |roster: &Self| roster.members.iter().filter(|m| m.listed).count();
+        let (settled, was_settled) = (self.previous.is_none(), other.previous.is_none());
+        self.epoch == other.epoch
+            && (settled, listed(self)) != (was_settled, listed(other))
+            && settled >= was_settled
+            && listed(self) >= listed(other)
+    }
+
     /// Returns the same roster with the previous epoch ended.
     pub fn settled(&self) -> Self {
         Self {
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -60,6 +60,8 @@
         peer: local_addr(&peers, settings.peers),
         admin: local_addr(&admin, settings.admin),
         domain: settings.domain.clone(),
+        vm: settings.vm.clone(),
+        listed: false,
     };
     let caller_addr = local_addr(&callers, settings.callers);
     log::info!(
--- a/crates/route/src/query.rs
+++ b/crates/route/src/query.rs
@@ -12,8 +12,10 @@
 
 use crate::replica::Replicas;
 
-/// Refused calls a group may have for each of its replicas before it counts as lost.
-const REFUSALS_PER_REPLICA: u32 = 4;
+/// Repeated calls that a group may have for each of its replicas after ends that may have run.
+const DOUBTS_PER_REPLICA: u32 = 2;
+/// Largest factor by which the wait between two tries of a refused group grows.
+const BACKOFF_GROWTH: u32 = 16;
 /// Extra calls that one group may have under hedging.
 const HEDGES_PER_GROUP: u32 = 2;
 /// Wait before a hedge is tried again that the budget did not allow.
@@ -55,6 +57,8 @@
     pub hedge_factor: f64,
     /// Wait before a refused group is tried again, doubled each time round.
     pub backoff: Duration,
+    /// How long a group is tried whose replicas all refuse, as while their leases move.
+    pub patience: Duration,
 }
 
 impl Default for QuerySettings {
@@ -65,6 +69,7 @@
             hedge_share: 0.05,
             hedge_factor: 1.2,
             backoff: Duration::from_millis(1),
+            patience: Duration::from_millis(250),
         }
     }
 }
@@ -145,6 +150,8 @@
 /// `Env` is what queries of one node share.
 #[derive(Debug)]
 pub struct Env<'a> {
+    /// Identity of the next call; counted up with each.
+    pub next_call: &'a mut CallId,
     /// Knowledge of leafs.
     pub replicas: &'a mut Replicas,
     /// Budget of hedged calls.
@@ -167,6 +174,10 @@
     part: Option<T>,
     loss: Option<Loss>,
     refusals: u32,
+    /// Ends that may have run.
+    doubts: u32,
+    /// When the first call was refused.
+    refused_at: Option<Time>,
     hedges: u32,
     /// When a refused group is tried again.
     retry_at: Option<Time>,
@@ -181,6 +192,8 @@
             part: None,
             loss: None,
             refusals: 0,
+            doubts: 0,
+            refused_at: None,
             hedges: 0,
             retry_at: None,
             last: None,
@@ -194,14 +207,13 @@
     }
 }
 
-/// `Query` runs one query. Calls are numbered from the identity given at the start.
+/// `Query` runs one query.
 #[derive(Debug)]
 pub struct Query<T> {
     plan: std::rc::Rc<Plan>,
     settings: QuerySettings,
     groups: Vec<Group<T>>,
     started: Time,
-    next_call: CallId,
     /// Groups neither answered nor lost.
     open: usize,
     answered: usize,
@@ -215,12 +227,10 @@
 }
 
 impl<T> Query<T> {
-    /// Starts a query. Its calls get the identities from `first_call` on, at most
-    /// [`Query::max_calls`] of them.
+    /// Starts a query and its first calls.
     pub fn start(
         plan: std::rc::Rc<Plan>,
         settings: QuerySettings,
-        first_call: CallId,
         now: Time,
         env: &mut Env<'_>,
         actions: &mut Vec<Action>,
@@ -231,7 +241,6 @@
             settings,
             groups: std::iter::repeat_with(Group::default).take(count).collect(),
             started: now,
-            next_call: first_call,
             open: count,
             answered: 0,
             median: None,
@@ -248,15 +257,6 @@
         query
     }
 
-    /// Returns the most call identities that a query over the plan can use.
-    pub fn max_calls(plan: &Plan) -> u64 {
-        let calls = |g: &PlanGroup| {
-            1 + u64::from(HEDGES_PER_GROUP)
-                + g.leafs.len() as u64 * u64::from(REFUSALS_PER_REPLICA + 1)
-        };
-        plan.groups.iter().map(calls).sum()
-    }
-
     /// Returns whether every group is answered or lost.
     pub fn is_done(&self) -> bool {
         self.open == 0
@@ -410,8 +410,8 @@
         };
 
         let leaf = plan.leafs[replica];
-        let call = self.next_call;
-        self.next_call.0 += 1;
+        let call = *env.next_call;
+        env.next_call.0 += 1;
         self.calls += 1;
         env.replicas.sent(leaf);
         group.running.push(Running {
@@ -451,17 +451,28 @@
         let group = &mut self.groups[at];
         group.last = Some(replica);
         group.refusals += 1;
-        if group.refusals >= replicas * REFUSALS_PER_REPLICA || reason == Refusal::Expired {
+        let since = *group.refused_at.get_or_insert(now);
+        let round = group.refusals / replicas;
+        // A full or cold leaf has told that it cannot answer in time; another try would add load.
+        let hopeless = match reason {
+            Refusal::Expired => true,
+            Refusal::Overload | Refusal::Cold => round > 0,
+            _ => now.since(since) >= self.settings.patience,
+        };
+        if hopeless {
             group.loss = Some(Loss::NotRun(reason));
             self.open -= 1;
             return;
         }
         // The first try of each replica is immediate; later rounds back off.
-        let round = group.refusals / replicas;
+        let growth = 1_u32
+            .checked_shl(round)
+            .unwrap_or(BACKOFF_GROWTH)
+            .min(BACKOFF_GROWTH);
         let wait = if round == 0 {
             Duration::ZERO
         } else {
-            self.settings.backoff * (1 << round)
+            self.settings.backoff * growth
         };
         group.retry_at = Some(now + wait);
     }
@@ -485,8 +496,8 @@
         let replicas = self.plan.groups[at].leafs.len() as u32;
         let group = &mut self.groups[at];
         group.last = Some(replica);
-        group.refusals += 1;
-        if group.refusals < replicas * REFUSALS_PER_REPLICA && env.retries.try_spend() {
+        group.doubts += 1;
+        if group.doubts < replicas * DOUBTS_PER_REPLICA && env.retries.try_spend() {
             group.retry_at = Some(now);
         } else {
             self.lose(at, Loss::Unknown(doubt), now, env, actions);
--- a/programs/monsoondeal/src/args.rs
+++ b/programs/monsoondeal/src/args.rs
@@ -133,6 +133,11 @@
         /// Identity of the leaf
         leaf: u64,
     },
+    /// Declares a node gone for good: only after its VM has surely ended
+    NodeGone {
+        /// Identity of the node, as in its state dump
+        node: u64,
+    },
     /// Tells whether a version of the tree is in force everywhere
     InForce {
         /// Version; the latest one by default
--- a/programs/monsoondeal/src/ctl.rs
+++ b/programs/monsoondeal/src/ctl.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use monsoondeal_config::{Change, ChangeId, Edit, Level, Origin, SETTINGS, Tree};
-use monsoondeal_core::{LeafId, TreeVersion};
+use monsoondeal_core::{LeafId, NodeId, TreeVersion};
 use monsoondeal_node::store::Store;
 use rand::RngExt;
 use serde::Serialize;
@@ -113,6 +113,9 @@
             Self::LeafIn { leaf } => Edit::LeafIn {
                 leaf: LeafId(*leaf),
             },
+            Self::NodeGone { node } => Edit::NodeGone {
+                node: NodeId(*node),
+            },
             Self::Show { .. } | Self::Tree | Self::InForce { .. } | Self::Dump { .. } => {
                 return None;
             }
