--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,6 @@
 pub use kind::{Priority, RequestKind};
 pub use map::FixedMap;
 pub use outcome::{Doubt, Refusal};
-pub use seat::LeafSeat;
+pub use seat::{LeafSeat, Position};
 pub use snapshot::{Coverage, Snapshot};
 pub use time::{Clock, Time};
--- a/crates/core/src/seat.rs
+++ b/crates/core/src/seat.rs
@@ -1,8 +1,8 @@
-//! Seats of leafs in the placement.
+//! What a placement is computed from.
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::LeafId;
+use crate::ids::{LeafId, NodeId};
 
 /// `LeafSeat` is a leaf that needs a node to hold its lease. Serialized as a pair.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -25,3 +25,13 @@
         (seat.leaf, seat.group)
     }
 }
+
+/// `Position` is a place in a cell and the node that has it. Placement depends on the number, so a
+/// node that takes the position of another gets exactly its leafs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Position {
+    /// Number within the cell.
+    pub number: u32,
+    /// The node.
+    pub node: NodeId,
+}
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -444,16 +444,16 @@
 
     fn recompute_seats(&mut self) {
         let roster = self.cell.roster();
-        let nodes = roster.nodes();
+        let positions = roster.positions();
         let key_seats: Vec<LeafSeat> = (0..KEY_PLACES).map(key_seat).collect();
         let mut seats = Seats {
-            leafs: place(&nodes, &roster.seats),
-            keys: place(&nodes, &key_seats),
+            leafs: place(&positions, &roster.seats),
+            keys: place(&positions, &key_seats),
             ..Seats::default()
         };
         if let Some(previous) = &roster.previous {
-            seats.leafs_before = place(&previous.nodes(), &previous.seats);
-            seats.keys_before = place(&previous.nodes(), &key_seats);
+            seats.leafs_before = place(&previous.positions(), &previous.seats);
+            seats.keys_before = place(&previous.positions(), &key_seats);
         }
         self.seats = seats;
     }
--- a/crates/engine/tests/net/mod.rs
+++ b/crates/engine/tests/net/mod.rs
@@ -264,6 +264,7 @@
             admin: addr(20_000),
             domain: DOMAINS[at % DOMAINS.len()].to_owned(),
             vm: format!("vm-{at}"),
+            position: 0,
             listed: false,
         };
         let seeds = self.nodes.iter().map(|n| n.member.peer).collect();
--- a/crates/member/src/cell.rs
+++ b/crates/member/src/cell.rs
@@ -22,7 +22,7 @@
 use monsoondeal_core::{Epoch, FixedMap, LeafSeat, NodeId, Time};
 use serde::{Deserialize, Serialize};
 
-use crate::roster::{Member, Previous, Roster, blocking, majority};
+use crate::roster::{Member, Roster, blocking, majority};
 
 /// A node that is absent from the platform's list counts as gone after this many spans of silence.
 const GONE_SILENCES: u32 = 5;
@@ -354,12 +354,9 @@
     pub fn refresh(&mut self, now: Time) {
         self.note_fence(now);
         let Self { roster, peers, .. } = self;
-        let previous = roster
-            .previous
-            .as_ref()
-            .map(Previous::nodes)
-            .unwrap_or_default();
-        peers.retain(|node, _| roster.contains(*node) || previous.contains(node));
+        let previous = roster.previous.as_ref().map_or(&[][..], |p| &p.members);
+        let known = |node| roster.contains(node) || previous.iter().any(|m| m.node == node);
+        peers.retain(|node, _| known(*node));
     }
 
     fn wanted(&self, joining: &[Member], now: Time) -> Vec<Member> {
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -1,8 +1,9 @@
 //! The roster of a cell, as kept in the platform's store.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use monsoondeal_core::{Epoch, LeafSeat, NodeId};
+use monsoondeal_core::{Epoch, LeafSeat, NodeId, Position};
 use serde::{Deserialize, Serialize};
 
 /// `Member` is a node of a cell.
@@ -19,6 +20,9 @@
     /// Name of its VM in the platform's list; empty if it is not known.
     #[serde(default)]
     pub vm: String,
+    /// Number of its position in the placement, unique in the cell.
+    #[serde(default)]
+    pub position: u32,
     /// Whether the platform's list has shown the VM. Only then does its absence tell anything.
     #[serde(default)]
     pub listed: bool,
@@ -34,9 +38,9 @@
 }
 
 impl Previous {
-    /// Returns the identities of the members.
-    pub fn nodes(&self) -> Vec<NodeId> {
-        self.members.iter().map(|m| m.node).collect()
+    /// Returns the positions of the members.
+    pub fn positions(&self) -> Vec<Position> {
+        positions(&self.members)
     }
 }
 
@@ -71,17 +75,27 @@
         self.members.get(at)
     }
 
-    /// Returns the identities of the members.
-    pub fn nodes(&self) -> Vec<NodeId> {
-        self.members.iter().map(|m| m.node).collect()
+    /// Returns the positions of the members.
+    pub fn positions(&self) -> Vec<Position> {
+        positions(&self.members)
     }
 
-    /// Returns the roster that follows with other members or seats.
+    /// Returns the roster that follows with other members or seats. Members that stay keep their
+    /// positions, and new ones take the lowest free ones.
     pub fn next(&self, mut members: Vec<Member>, mut seats: Vec<LeafSeat>) -> Self {
         members.sort_by_key(|m| m.node);
         members.dedup_by_key(|m| m.node);
         seats.sort_unstable();
         seats.dedup();
+        let stays = |m: &&Member| self.contains(m.node);
+        let mut taken: BTreeSet<u32> = members.iter().filter(stays).map(|m| m.position).collect();
+        for member in members.iter_mut().filter(|m| !self.contains(m.node)) {
+            let free = (0..)
+                .find(|number| !taken.contains(number))
+                .unwrap_or_default();
+            member.position = free;
+            taken.insert(free);
+        }
         let previous = Previous {
             members: self.members.clone(),
             seats: self.seats.clone(),
@@ -115,6 +129,16 @@
     }
 }
 
+fn positions(members: &[Member]) -> Vec<Position> {
+    members
+        .iter()
+        .map(|m| Position {
+            number: m.position,
+            node: m.node,
+        })
+        .collect()
+}
+
 /// Returns the least number of members that any two majorities of `count` share a member in.
 pub const fn majority(count: usize) -> usize {
     count / 2 + 1
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -61,6 +61,7 @@
         admin: local_addr(&admin, settings.admin),
         domain: settings.domain.clone(),
         vm: settings.vm.clone(),
+        position: 0,
         listed: false,
     };
     let caller_addr = local_addr(&callers, settings.callers);
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -1,14 +1,14 @@
 //! Placement of leaf leases on the nodes of a cell.
 //!
 //! Every node computes the same placement from the same roster and leaf list; nothing is stored.
-//! Each pair of node and leaf has a hash score, as in rendezvous hashing. Pairs are taken in order
+//! Each pair of position and leaf has a hash score, as in rendezvous hashing. Pairs are taken in order
 //! of score until every leaf has a holder; a node that is full, or that already holds a replica of
 //! the leaf's group, is passed over. The load bound keeps a node within [`LOAD_FACTOR`] times the
 //! mean, and the scores keep moves few when the roster changes.
 
 use std::collections::HashSet;
 
-use monsoondeal_core::{FixedMap, LeafId, LeafSeat, NodeId};
+use monsoondeal_core::{FixedMap, LeafId, LeafSeat, NodeId, Position};
 use rapidhash::v3::{RapidSecrets, rapidhash_v3_seeded};
 
 /// Largest load of a node as a multiple of the mean, where the mean is at least 4 leafs.
@@ -62,68 +62,68 @@
     bound.max(mean.ceil() as usize)
 }
 
-/// Computes the placement of `leafs` on `nodes`; neither order matters.
-pub fn place(nodes: &[NodeId], leafs: &[LeafSeat]) -> Placement {
+/// Computes the placement of `leafs` on `positions`; neither order matters.
+pub fn place(positions: &[Position], leafs: &[LeafSeat]) -> Placement {
     let mut placement = Placement::default();
-    if nodes.is_empty() {
+    if positions.is_empty() {
         return placement;
     }
 
-    let bound = load_bound(nodes.len(), leafs.len());
-    let mut loads = vec![0_usize; nodes.len()];
+    let bound = load_bound(positions.len(), leafs.len());
+    let mut loads = vec![0_usize; positions.len()];
     let mut groups: HashSet<(usize, u64)> = HashSet::new();
-    for (_, node, leaf) in ranked_pairs(nodes, leafs) {
+    for (_, at, leaf) in ranked_pairs(positions, leafs) {
         let seat = leafs[leaf as usize];
-        let node = node as usize;
+        let at = at as usize;
         let taken = placement.holders.contains_key(&seat.leaf);
-        if taken || loads[node] >= bound || groups.contains(&(node, seat.group)) {
+        if taken || loads[at] >= bound || groups.contains(&(at, seat.group)) {
             continue;
         }
-        loads[node] += 1;
-        groups.insert((node, seat.group));
-        placement.holders.insert(seat.leaf, nodes[node]);
+        loads[at] += 1;
+        groups.insert((at, seat.group));
+        placement.holders.insert(seat.leaf, positions[at].node);
     }
-    place_rest(nodes, leafs, &mut loads, &mut placement);
+    place_rest(positions, leafs, &mut loads, &mut placement);
     placement
 }
 
 /// Places the leafs that the group rule left over, each on the least loaded node.
 fn place_rest(
-    nodes: &[NodeId],
+    positions: &[Position],
     leafs: &[LeafSeat],
     loads: &mut [usize],
     placement: &mut Placement,
 ) {
-    let mut rest: Vec<LeafId> = leafs
-        .iter()
-        .map(|s| s.leaf)
-        .filter(|l| !placement.holders.contains_key(l))
-        .collect();
+    let unplaced = |leaf: &LeafId| !placement.holders.contains_key(leaf);
+    let mut rest: Vec<LeafId> = leafs.iter().map(|s| s.leaf).filter(unplaced).collect();
     rest.sort_unstable();
     for leaf in rest {
-        let least = (0..nodes.len()).min_by_key(|&i| (loads[i], nodes[i]));
-        let Some(node) = least else { return };
-        loads[node] += 1;
-        placement.holders.insert(leaf, nodes[node]);
+        let least = (0..positions.len()).min_by_key(|&at| (loads[at], positions[at].number));
+        let Some(at) = least else { return };
+        loads[at] += 1;
+        placement.holders.insert(leaf, positions[at].node);
     }
 }
 
-/// Returns all pairs as (score, node index, leaf index), best first.
-fn ranked_pairs(nodes: &[NodeId], leafs: &[LeafSeat]) -> Vec<(u64, u32, u32)> {
-    let mut pairs = Vec::with_capacity(nodes.len() * leafs.len());
-    for (i, node) in nodes.iter().enumerate() {
+/// Returns all pairs as (score, position index, leaf index), best first.
+fn ranked_pairs(positions: &[Position], leafs: &[LeafSeat]) -> Vec<(u64, u32, u32)> {
+    let mut pairs = Vec::with_capacity(positions.len() * leafs.len());
+    for (i, position) in positions.iter().enumerate() {
         for (j, seat) in leafs.iter().enumerate() {
-            pairs.push((score(*node, seat.leaf), i as u32, j as u32));
+            pairs.push((score(*position, seat.leaf), i as u32, j as u32));
         }
     }
     // Equal scores are ordered by identity, so that the result does not depend on input order.
-    pairs.sort_unstable_by_key(|&(score, i, j)| (score, nodes[i as usize], leafs[j as usize].leaf));
+    let key = |&(score, i, j): &(u64, u32, u32)| {
+        (score, positions[i as usize].number, leafs[j as usize].leaf)
+    };
+    pairs.sort_unstable_by_key(key);
     pairs
 }
 
-fn score(node: NodeId, leaf: LeafId) -> u64 {
+fn score(position: Position, leaf: LeafId) -> u64 {
     let mut bytes = [0; 16];
-    bytes[..8].copy_from_slice(&node.0.to_le_bytes());
+    bytes[..8].copy_from_slice(&u64::from(position.number).to_le_bytes());
     bytes[8..].copy_from_slice(&leaf.0.to_le_bytes());
     rapidhash_v3_seeded(&bytes, &SECRETS)
 }
