--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -6,7 +6,7 @@
 use monsoondeal_core::{CallId, FixedMap, LeafId, Time};
 use monsoondeal_limit::OnceSettings;
 use monsoondeal_member::{Cell, CellSettings, Member};
-use monsoondeal_route::ReplicaSettings;
+use monsoondeal_route::{QuerySettings, ReplicaSettings};
 
 use crate::control::{Config, Control, Link, Peer, Seats};
 use crate::counts::Counts;
@@ -33,6 +33,8 @@
     pub once: OnceSettings,
     /// Choice between replicas.
     pub replicas: ReplicaSettings,
+    /// Bounds of queries; the deadline comes from the request kind.
+    pub query: QuerySettings,
     /// Most requests of callers under way.
     pub inflight: usize,
     /// Seed of random choices.
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -157,7 +157,7 @@
         };
         let settings = QuerySettings {
             deadline,
-            ..QuerySettings::default()
+            ..self.settings.query
         };
         let id = self.start_query(
             Purpose::Caller(token),
--- a/crates/engine/src/home.rs
+++ b/crates/engine/src/home.rs
@@ -257,7 +257,7 @@
             deadline: now + Duration::from_micros(order.budget),
             repeatable: false,
             patience: Duration::from_micros(order.budget),
-            ..QuerySettings::default()
+            ..self.settings.query
         };
         let job = HomeJob {
             from,
--- a/crates/engine/tests/at_most_once.rs
+++ b/crates/engine/tests/at_most_once.rs
@@ -1,13 +1,11 @@
 //! Requests that may not be repeated run at most once, and "not run" is true, whatever fails.
 
-mod net;
-
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use fakenet::{LeafMode, Net, Options};
 use monsoondeal_core::LeafId;
 use monsoondeal_engine::io::{Response, Token};
-use net::{LeafMode, Net, Options};
 use rand::RngExt;
 use rstest::rstest;
 
--- a/crates/engine/tests/config_feed.rs
+++ b/crates/engine/tests/config_feed.rs
@@ -1,12 +1,10 @@
 //! An accepted configuration is in force everywhere within seconds and never reverts.
 
-mod net;
-
 use std::time::Duration;
 
+use fakenet::{Net, Options, SERVICE};
 use monsoondeal_config::{Edit, Level};
 use monsoondeal_engine::io::Response;
-use net::{Net, Options, SERVICE};
 use rand::RngExt;
 use rstest::rstest;
 
--- a/crates/engine/tests/departures.rs
+++ b/crates/engine/tests/departures.rs
@@ -1,13 +1,11 @@
 //! Failure domains, leafs and nodes leave and return without harm to callers.
 
-mod net;
-
 use std::time::Duration;
 
+use fakenet::{DOMAINS, Net, Options, first_map};
 use monsoondeal_config::Edit;
 use monsoondeal_core::{LeafId, Time};
 use monsoondeal_engine::io::{Response, Token};
-use net::{DOMAINS, Net, Options, first_map};
 use rand::RngExt;
 use rstest::rstest;
 
--- a/crates/engine/tests/lease_safety.rs
+++ b/crates/engine/tests/lease_safety.rs
@@ -1,10 +1,8 @@
 //! At most one node acts on a leaf at a time, whatever fails.
 
-mod net;
-
 use std::time::Duration;
 
-use net::{Net, Options};
+use fakenet::{Net, Options};
 use rand::RngExt;
 use rstest::rstest;
 
--- a/crates/engine/tests/repeatable.rs
+++ b/crates/engine/tests/repeatable.rs
@@ -1,10 +1,8 @@
 //! A run depends on its seed alone.
 
-mod net;
-
 use std::time::Duration;
 
-use net::{Net, Options};
+use fakenet::{Net, Options};
 
 /// Runs a busy network and returns what happened in it.
 fn trace(seed: u64) -> Vec<String> {
--- a/crates/engine/tests/snapshot.rs
+++ b/crates/engine/tests/snapshot.rs
@@ -1,13 +1,11 @@
 //! Every answer comes from one snapshot, and its coverage is true.
 
-mod net;
-
 use std::time::Duration;
 
+use fakenet::{LeafMode, Net, Options, first_map};
 use monsoondeal_config::{Edit, ServiceMap};
 use monsoondeal_core::{IndexVersion, LeafId, MapVersion};
 use monsoondeal_engine::io::{Response, Token};
-use net::{LeafMode, Net, Options, first_map};
 use rand::RngExt;
 use rstest::rstest;
 
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -16,7 +16,7 @@
 use monsoondeal_engine::{Engine, EngineSettings, Input, Output};
 use monsoondeal_limit::OnceSettings;
 use monsoondeal_member::{CellSettings, Member};
-use monsoondeal_route::ReplicaSettings;
+use monsoondeal_route::{QuerySettings, ReplicaSettings};
 use rand::RngExt;
 
 use crate::callers::CallerState;
@@ -119,6 +119,7 @@
         spans,
         once: OnceSettings::default(),
         replicas: ReplicaSettings::default(),
+        query: QuerySettings::default(),
         inflight: settings.inflight,
     }
 }
--- a/crates/route/src/query.rs
+++ b/crates/route/src/query.rs
@@ -55,6 +55,8 @@
     pub hedge_share: f64,
     /// Hedge calls that are out for this multiple of the median response.
     pub hedge_factor: f64,
+    /// Hedge every call that is out for this long, in place of the two rules above.
+    pub hedge_delay: Option<Duration>,
     /// Wait before a refused group is tried again, doubled each time round.
     pub backoff: Duration,
     /// How long a group is tried whose replicas all refuse, as while their leases move.
@@ -68,6 +70,7 @@
             repeatable: true,
             hedge_share: 0.05,
             hedge_factor: 1.2,
+            hedge_delay: None,
             backoff: Duration::from_millis(1),
             patience: Duration::from_millis(250),
         }
@@ -537,7 +540,13 @@
 
     /// Returns how long a call is waited for before it is hedged, or `None` while no group may be.
     fn hedge_patience(&self) -> Option<Duration> {
-        if !self.settings.repeatable || self.groups.len() < MEDIAN_GROUPS {
+        if !self.settings.repeatable {
+            return None;
+        }
+        if self.settings.hedge_delay.is_some() {
+            return self.settings.hedge_delay;
+        }
+        if self.groups.len() < MEDIAN_GROUPS {
             return None;
         }
         let limit = (self.groups.len() as f64 * self.settings.hedge_share)
--- /dev/null
+++ b/programs/bench/src/slopes.rs
@@ -0,0 +1,2 @@
+//! Slopes.
+pub(crate) fn run(_seed: u64) {}
--- a/crates/engine/tests/net/leafs.rs
+++ b/programs/fakenet/src/leafs.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use monsoondeal_config::LeafSpec;
 use monsoondeal_core::{IndexVersion, LeafId, Snapshot, Time};
 use monsoondeal_engine::io::{LeafCall, LeafEnd};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-
-/// Calls that a leaf bears, as the default setting says.
-const SLOTS: u32 = 2;
+use rand_distr::{Distribution, LogNormal};
 
 /// How a leaf behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -41,6 +40,10 @@
     cold: u32,
     calls: u64,
     last_start: Time,
+    /// Failure domain.
+    domain: String,
+    /// Factor on the service time; zero stands for one.
+    factor: f64,
     /// Service time of its own, if any.
     slow: Option<Duration>,
 }
@@ -50,6 +53,10 @@
 pub struct Leafs {
     leafs: BTreeMap<LeafId, Leaf>,
     rng: SmallRng,
+    /// Calls that a leaf bears at a time.
+    slots: u32,
+    /// Standard deviation of the logarithm of the service time.
+    pub sigma: f64,
     /// Median service time.
     pub service: Duration,
     /// Share of calls that take 10 times as long.
@@ -65,10 +72,13 @@
 }
 
 impl Leafs {
-    pub fn new(seed: u64) -> Self {
+    /// Creates an empty set.
+    pub fn new(seed: u64, slots: u32) -> Self {
         Self {
             leafs: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed ^ 0x1eaf),
+            slots,
+            sigma: 0.4,
             service: Duration::from_millis(2),
             slow_share: 0.0,
             shared: 0,
@@ -79,24 +89,40 @@
     }
 
     /// Adds a leaf, or moves it to another group or snapshot.
-    pub fn add(&mut self, leaf: LeafId, group: u32, snapshot: Snapshot) {
-        let leaf = self.leafs.entry(leaf).or_default();
+    pub fn add(&mut self, spec: &LeafSpec, group: u32, snapshot: Snapshot) {
+        let leaf = self.leafs.entry(spec.leaf).or_default();
+        leaf.domain.clone_from(&spec.domain);
         leaf.group = group;
         leaf.snapshot = snapshot;
     }
 
+    /// Sets how a leaf behaves.
     pub fn set_mode(&mut self, leaf: LeafId, mode: LeafMode) {
         if let Some(leaf) = self.leafs.get_mut(&leaf) {
             leaf.mode = mode;
         }
     }
 
+    /// Gives a leaf a service time of its own.
     pub fn set_slow(&mut self, leaf: LeafId, service: Duration) {
         if let Some(leaf) = self.leafs.get_mut(&leaf) {
             leaf.slow = Some(service);
         }
     }
 
+    /// Makes a leaf slower or faster by a factor.
+    pub fn set_factor(&mut self, leaf: LeafId, factor: f64) {
+        if let Some(leaf) = self.leafs.get_mut(&leaf) {
+            leaf.factor = factor;
+        }
+    }
+
+    /// Makes the leafs of a domain cold for their next calls.
+    pub fn chill_domain(&mut self, domain: &str, calls: u32) {
+        let leafs = self.leafs.values_mut().filter(|leaf| leaf.domain == domain);
+        leafs.for_each(|leaf| leaf.cold = calls);
+    }
+
     /// Makes every leaf cold for its next calls.
     pub fn chill_all(&mut self, calls: u32) {
         self.leafs.values_mut().for_each(|leaf| leaf.cold = calls);
@@ -117,7 +143,8 @@
 
     /// Begins a call; returns how long it takes and how it ends.
     pub fn begin(&mut self, node: usize, call: &LeafCall, now: Time) -> (Duration, LeafEnd) {
-        let service = self.service.mul_f64(self.rng.random_range(0.5..2.0));
+        let factor = LogNormal::new(0.0, self.sigma).map_or(1.0, |d| d.sample(&mut self.rng));
+        let service = self.service.mul_f64(factor);
         let slow = self.rng.random_bool(self.slow_share);
         let Some(leaf) = self.leafs.get_mut(&call.leaf) else {
             return (Duration::ZERO, LeafEnd::NoConnection);
@@ -140,7 +167,7 @@
             .iter()
             .any(|(other, count)| *other != node && *count > 0);
         self.shared += u64::from(others);
-        self.over_slots += u64::from(total > SLOTS);
+        self.over_slots += u64::from(total > self.slots);
         self.over_cold += u64::from(leaf.cold > 0 && total > 1);
         leaf.cold = leaf.cold.saturating_sub(1);
         if let Some(key) = &call.key {
@@ -149,6 +176,11 @@
         let span = leaf
             .slow
             .unwrap_or(if slow { service * 10 } else { service });
+        let span = if leaf.factor > 0.0 {
+            span.mul_f64(leaf.factor)
+        } else {
+            span
+        };
         let mut stamp = leaf.snapshot;
         if leaf.mode == LeafMode::WrongStamp {
             stamp.index = IndexVersion(stamp.index.0 + 7);
@@ -164,6 +196,7 @@
         (span, end)
     }
 
+    /// Ends a call.
     pub fn end(&mut self, node: usize, leaf: LeafId) {
         if let Some(count) = self
             .leafs
--- a/crates/engine/tests/net/mod.rs
+++ b/programs/fakenet/src/lib.rs
@@ -3,8 +3,6 @@
 //! Every node's clock is off by a span of its own, so that no test passes by comparing clocks. All
 //! messages go through the codec. Runs depend on the seed alone.
 
-#![allow(dead_code, reason = "each test file uses a part of it")]
-
 mod leafs;
 
 use std::cmp::Reverse;
@@ -21,11 +19,10 @@
 };
 use monsoondeal_limit::OnceSettings;
 use monsoondeal_member::{CellSettings, Member};
-use monsoondeal_route::ReplicaSettings;
+use monsoondeal_route::{QuerySettings, ReplicaSettings};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-#[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use leafs::{LeafMode, Leafs};
 
 /// Name of the service in all tests.
@@ -36,12 +33,28 @@
 /// `Options` shape a network.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
+    /// Seed of everything random.
     pub seed: u64,
+    /// Nodes at the start.
     pub nodes: usize,
+    /// Groups of the partition map, of two leafs each.
     pub groups: usize,
+    /// Spans of membership.
     pub spans: CellSettings,
+    /// Bounds of the tables of idempotency keys.
     pub once: OnceSettings,
+    /// Most requests of callers under way at a node.
     pub inflight: usize,
+    /// Choice between replicas.
+    pub replicas: ReplicaSettings,
+    /// Bounds of queries.
+    pub query: QuerySettings,
+    /// Least and largest delay of a message between nodes, in microseconds.
+    pub hop: (u64, u64),
+    /// Calls that a leaf bears.
+    pub slots: u32,
+    /// Whether messages go through the codec, and their bytes are counted.
+    pub codec: bool,
     /// A node that holds its leases for longer than the others allow for.
     pub stubborn: Option<(usize, Duration)>,
 }
@@ -61,6 +74,11 @@
             spans,
             once: OnceSettings::default(),
             inflight: 10_000,
+            replicas: ReplicaSettings::default(),
+            query: QuerySettings::default(),
+            hop: (200, 1_500),
+            slots: 2,
+            codec: true,
             stubborn: None,
         }
     }
@@ -142,10 +160,13 @@
 /// A node of the network.
 #[derive(Debug)]
 pub struct Node {
+    /// The node itself.
     pub engine: Engine,
+    /// How it shows in rosters.
     pub member: Member,
     /// What its clock shows beyond the network's.
     skew: Duration,
+    /// Whether it has not been killed.
     pub alive: bool,
     frozen: bool,
     /// Inputs that wait for a frozen node.
@@ -155,6 +176,7 @@
     /// Version of each watched key that was delivered last.
     seen: BTreeMap<String, Option<u64>>,
     wanted_peers: BTreeSet<SocketAddr>,
+    /// Whether a planned stop is done.
     pub stopped: bool,
     /// Trees in force, in the order in which they were.
     pub trees: Vec<u64>,
@@ -173,30 +195,39 @@
 /// A response to a caller.
 #[derive(Clone, Debug)]
 pub struct Ended {
+    /// Node that answered.
     pub node: usize,
+    /// The request.
     pub token: Token,
+    /// Its response.
     pub response: Response,
+    /// When it was answered.
     pub at: Time,
 }
 
 /// `Net` runs everything.
 #[derive(Debug)]
 pub struct Net {
+    /// The present time of the network.
     pub now: Time,
     options: Options,
     queue: BinaryHeap<Reverse<Queued>>,
     seq: u64,
+    /// Source of everything random.
     pub rng: SmallRng,
+    /// All nodes that were ever started.
     pub nodes: Vec<Node>,
     links: BTreeMap<u64, Link>,
     next_link: u64,
     objects: BTreeMap<String, (u64, Bytes)>,
     revision: u64,
+    /// Whether the store answers nobody.
     pub store_down: bool,
     /// Writes that take effect without an answer.
     pub lose_replies: u32,
     /// Calls to the store, waiting ones apart.
     pub store_calls: u64,
+    /// All leafs.
     pub leafs: Leafs,
     /// Pairs of nodes that cannot reach each other.
     cut: BTreeSet<(usize, usize)>,
@@ -205,9 +236,12 @@
     held_back: Vec<Event>,
     /// Nodes that cannot reach the store.
     pub store_cut: BTreeSet<usize>,
+    /// All responses, in order.
     pub ended: Vec<Ended>,
     next_token: u64,
     vms_hidden: bool,
+    /// Encoded bytes of control messages, as sent.
+    pub control_bytes: u64,
 }
 
 impl Net {
@@ -239,7 +273,7 @@
             store_down: false,
             lose_replies: 0,
             store_calls: 0,
-            leafs: Leafs::new(options.seed),
+            leafs: Leafs::new(options.seed, options.slots),
             cut: BTreeSet::new(),
             store_cut: BTreeSet::new(),
             stalled: BTreeSet::new(),
@@ -247,8 +281,9 @@
             ended: Vec::new(),
             next_token: 0,
             vms_hidden: false,
+            control_bytes: 0,
         };
-        net.write_tree(&first_tree());
+        net.write_tree(&first_tree(options.slots));
         let map = first_map(options.groups, 1);
         net.publish_map(&map);
         net
@@ -280,7 +315,8 @@
             seeds,
             spans,
             once: self.options.once,
-            replicas: ReplicaSettings::default(),
+            replicas: self.options.replicas,
+            query: self.options.query,
             inflight: self.options.inflight,
             seed: self.options.seed ^ at as u64,
         });
@@ -468,7 +504,7 @@
     /// Writes a partition map.
     pub fn publish_map(&mut self, map: &ServiceMap) {
         for (group, leaf) in map.leafs() {
-            self.leafs.add(leaf.leaf, group, map.snapshot);
+            self.leafs.add(leaf, group, map.snapshot);
         }
         let value = serde_json::to_vec(map).expect("maps can be serialized");
         self.store_object(&map_key(SERVICE), Bytes::from(value));
@@ -825,10 +861,13 @@
     }
 
     fn send(&mut self, link: u64, to_acceptor: bool, message: Message) {
-        let mut bytes = Vec::new();
-        ciborium::into_writer(&message, &mut bytes).expect("messages can be encoded");
-        let message: Message = ciborium::from_reader(&bytes[..]).expect("messages can be decoded");
-        let delay = self.delay(200..1_500);
+        let message = if self.options.codec {
+            self.recode(message)
+        } else {
+            message
+        };
+        let (least, most) = self.options.hop;
+        let delay = self.delay(least..most);
         let Some(l) = self.links.get_mut(&link) else {
             return;
         };
@@ -852,6 +891,16 @@
         }
     }
 
+    /// Sends a message through the codec and counts its bytes.
+    fn recode(&mut self, message: Message) -> Message {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&message, &mut bytes).expect("messages can be encoded");
+        if is_control(&message) {
+            self.control_bytes += bytes.len() as u64;
+        }
+        ciborium::from_reader(&bytes[..]).expect("messages can be decoded")
+    }
+
     fn links_of(&self, node: usize) -> Vec<u64> {
         let links = self
             .links
@@ -894,8 +943,20 @@
     }
 }
 
+/// Returns whether a message belongs to control, not to a request.
+fn is_control(message: &Message) -> bool {
+    !matches!(
+        message,
+        Message::Call(_)
+            | Message::Cancel(_)
+            | Message::CallEnd(..)
+            | Message::Order(_)
+            | Message::OrderEnd(..)
+    )
+}
+
 /// Returns the tree that tests start with: kinds of all priorities and one that is not repeatable.
-fn first_tree() -> Tree {
+fn first_tree(slots: u32) -> Tree {
     let mut tree = Tree::default();
     let mut edits = vec![
         Edit::CreateOwner {
@@ -915,6 +976,11 @@
     edits.push(set("urgent", "priority", "first".into()));
     edits.push(set("report", "priority", "bulk".into()));
     edits.push(set("order", "repeatable", false.into()));
+    edits.push(Edit::Set {
+        level: "/rilegatoria".parse().expect("a level"),
+        setting: "slots".to_owned(),
+        value: slots.into(),
+    });
     for (at, edit) in edits.into_iter().enumerate() {
         let change = Change {
             id: ChangeId(at as u64),
