--- a/programs/bench/src/slopes.rs
+++ b/programs/bench/src/slopes.rs
@@ -1,2 +1,347 @@
-//! Slopes.
-pub(crate) fn run(_seed: u64) {}
+//! State, messages, bytes and CPU of each role over several sizes, with the slope between them.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use fakenet::{Net, Options};
+use monsoondeal::config::{Change, ChangeId, Edit, Level, Tree};
+use monsoondeal::core::{CallId, LeafId, NodeId, Position, Priority, Snapshot, Time};
+use monsoondeal::engine::Message;
+use monsoondeal::engine::message::{Call, CallEnd};
+use monsoondeal::limit::{Gate, GateSettings, Once, OnceSettings};
+use monsoondeal::route::{place, seat};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Span of idle time over which control is measured.
+const IDLE: Duration = Duration::from_secs(120);
+/// Bytes that TCP, IP and WebSocket add to a message: 20, 32 with timestamps, and 6.
+const FRAMING: f64 = 58.0;
+
+/// Measures all slopes.
+pub(crate) fn run(seed: u64) {
+    println!("slopes: seed {seed}; CPU and memory are of this machine");
+    control(seed);
+    tree();
+    placement(seed);
+    queries(seed);
+    codec();
+    memory();
+}
+
+/// Prints a row for each size and the least-squares slope of each column.
+struct Table {
+    unit: &'static str,
+    columns: Vec<&'static str>,
+    rows: Vec<(f64, Vec<f64>)>,
+}
+
+impl Table {
+    fn new(title: &str, unit: &'static str, columns: &[&'static str]) -> Self {
+        println!("\n{title}");
+        Self {
+            unit,
+            columns: columns.to_vec(),
+            rows: Vec::new(),
+        }
+    }
+
+    fn row(&mut self, size: f64, values: Vec<f64>) {
+        self.rows.push((size, values));
+    }
+
+    fn print(&self) {
+        let head: Vec<String> = self.columns.iter().map(|c| format!("{c:>26}")).collect();
+        println!("  {:>14} {}", self.unit, head.join(""));
+        for (size, values) in &self.rows {
+            let cells: Vec<String> = values.iter().map(|v| format!("{v:>26.3}")).collect();
+            println!("  {size:>14} {}", cells.join(""));
+        }
+        let slopes: Vec<String> = (0..self.columns.len())
+            .map(|at| format!("{:>26.4}", self.slope(at)))
+            .collect();
+        println!("  {:>14} {}", "slope", slopes.join(""));
+    }
+
+    fn slope(&self, at: usize) -> f64 {
+        let count = self.rows.len() as f64;
+        let mean_x = self.rows.iter().map(|(x, _)| x).sum::<f64>() / count;
+        let mean_y = self.rows.iter().map(|(_, y)| y[at]).sum::<f64>() / count;
+        let over = self
+            .rows
+            .iter()
+            .map(|(x, y)| (x - mean_x) * (y[at] - mean_y))
+            .sum::<f64>();
+        let under = self
+            .rows
+            .iter()
+            .map(|(x, _)| (x - mean_x).powi(2))
+            .sum::<f64>();
+        over / under
+    }
+}
+
+/// Control of an idle cell over its size.
+fn control(seed: u64) {
+    let columns = [
+        "messages/s a node",
+        "bytes/s a node, framed",
+        "CPU us/s a node",
+        "store calls/s a cell",
+    ];
+    let title = "control of an idle cell, heartbeat 500 ms, both directions as sent";
+    let mut table = Table::new(title, "nodes", &columns);
+    for nodes in [4, 8, 16, 32] {
+        let mut net = Net::start(Options {
+            seed,
+            nodes,
+            ..Options::default()
+        });
+        let messages = messages_of(&net);
+        let (bytes, calls) = (net.control_bytes, net.store_calls);
+        let start = Instant::now();
+        net.run_for(IDLE);
+        let cpu = start.elapsed();
+        let per = IDLE.as_secs_f64() * nodes as f64;
+        let messages = (messages_of(&net) - messages) as f64;
+        let bytes = (net.control_bytes - bytes) as f64 + messages * FRAMING;
+        let calls = (net.store_calls - calls) as f64 / IDLE.as_secs_f64();
+        let cpu = cpu.as_secs_f64() * 1e6 / per;
+        table.row(nodes as f64, vec![messages / per, bytes / per, cpu, calls]);
+    }
+    table.print();
+}
+
+fn messages_of(net: &Net) -> u64 {
+    net.nodes
+        .iter()
+        .map(|n| n.engine.counts().control_messages)
+        .sum()
+}
+
+/// Size of the tree over its services, each with 3 kinds of 2 settings.
+fn tree() {
+    let columns = ["bytes in the store", "resident bytes", "apply us"];
+    let mut table = Table::new("tree of settings", "services", &columns);
+    for services in [28_u64, 56, 112, 223] {
+        let tree = tree_of(services);
+        let stored = serde_json::to_vec(&tree)
+            .expect("trees can be serialized")
+            .len();
+        let resident = resident_of(|| vec![tree.clone(); 50]) / 50.0;
+        let change = set(
+            &format!("/owner/service-{}", services / 2),
+            "slots",
+            3.into(),
+            7,
+        );
+        let apply = time_of(50, || {
+            black_box(tree.apply(&change).expect("the change fits"));
+        });
+        table.row(services as f64, vec![stored as f64, resident, apply * 1e6]);
+    }
+    table.print();
+}
+
+fn tree_of(services: u64) -> Tree {
+    let mut tree = Tree::default();
+    let mut edits = vec![change(
+        Edit::CreateOwner {
+            owner: "owner".to_owned(),
+        },
+        0,
+    )];
+    for at in 0..services {
+        let service = format!("service-{at}");
+        let create = Edit::CreateService {
+            service: service.clone(),
+            owner: "owner".to_owned(),
+            cell: format!("cell-{at}"),
+        };
+        edits.push(change(create, at));
+        for kind in ["urgent", "lookup", "report"] {
+            let level = format!("/owner/{service}/{kind}");
+            edits.push(set(&level, "deadline_ms", 73.into(), at));
+            edits.push(set(&level, "priority", "first".into(), at));
+        }
+    }
+    for edit in edits {
+        tree = tree.apply(&edit).expect("the edit fits");
+    }
+    tree
+}
+
+fn change(edit: Edit, id: u64) -> Change {
+    Change {
+        id: ChangeId(id),
+        actor: None,
+        expects: None,
+        edit,
+    }
+}
+
+fn set(level: &str, setting: &str, value: serde_json::Value, id: u64) -> Change {
+    let level: Level = level.parse().expect("a level");
+    change(
+        Edit::Set {
+            level,
+            setting: setting.to_owned(),
+            value,
+        },
+        id,
+    )
+}
+
+/// Time to compute the placement of a cell.
+fn placement(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let title = "placement of a cell, 166 leafs";
+    let mut table = Table::new(title, "nodes", &["compute us"]);
+    let pairs = (0..83_u32).flat_map(|g| [(g, 0), (g, 1)]);
+    let seats: Vec<_> = pairs
+        .map(|(g, r)| seat(LeafId(u64::from(g) * 2 + r), "service", g))
+        .collect();
+    for nodes in [8_u32, 16, 32, 64] {
+        let position = |number| Position {
+            number,
+            node: NodeId(rng.random()),
+        };
+        let positions: Vec<Position> = (0..nodes).map(position).collect();
+        let time = time_of(50, || {
+            black_box(place(&positions, &seats));
+        });
+        table.row(f64::from(nodes), vec![time * 1e6]);
+    }
+    table.print();
+}
+
+/// CPU of the engine for a query over its groups, entry and holders together, codec apart.
+fn queries(seed: u64) {
+    let title = "engine CPU of a query, entry and holders, without codec and sockets";
+    let mut table = Table::new(title, "groups", &["us a query", "us a leaf call"]);
+    for groups in [10, 20, 40, 83] {
+        let options = Options {
+            seed,
+            groups,
+            codec: false,
+            slots: 3,
+            ..Options::default()
+        };
+        let mut net = Net::start(options);
+        net.leafs.service = Duration::from_millis(1);
+        send(&mut net, 500);
+        let start = Instant::now();
+        let count = 2_000;
+        send(&mut net, count);
+        let micros = start.elapsed().as_secs_f64() * 1e6 / count as f64;
+        table.row(groups as f64, vec![micros, micros / groups as f64]);
+    }
+    table.print();
+}
+
+fn send(net: &mut Net, count: usize) {
+    for _ in 0..count {
+        let node = net.any_ready();
+        net.request(node, "lookup", None);
+        net.run_for(Duration::from_millis(4));
+    }
+}
+
+/// CPU and bytes of the codec for a call and its end over the body.
+fn codec() {
+    let columns = ["call bytes", "end bytes", "encode+decode us, both"];
+    let mut table = Table::new("codec of a call and its end", "body bytes", &columns);
+    for size in [100_usize, 200, 400, 800] {
+        let body = Bytes::from(vec![b'x'; size]);
+        let call = Message::Call(Box::new(Call {
+            call: CallId(1_000_000),
+            leaf: LeafId(37_000),
+            snapshot: Snapshot::default(),
+            priority: Priority::Normal,
+            hedge: false,
+            budget: 73_000,
+            sent: 1_000_000_000,
+            kind: "lookup".to_owned(),
+            key: None,
+            body: body.clone(),
+        }));
+        let end = Message::CallEnd(CallId(1_000_000), CallEnd::Data(Snapshot::default(), body));
+        let sizes = [encode(&call).len() as f64, encode(&end).len() as f64];
+        let time = time_of(2_000, || {
+            for message in [&call, &end] {
+                let bytes = encode(message);
+                let decoded: Vec<Message> =
+                    ciborium::from_reader(&bytes[..]).expect("messages can be decoded");
+                black_box(decoded);
+            }
+        });
+        table.row(size as f64, vec![sizes[0], sizes[1], time * 1e6]);
+    }
+    table.print();
+}
+
+fn encode(message: &Message) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&[message], &mut bytes).expect("messages can be encoded");
+    bytes
+}
+
+/// Resident memory of what a node keeps for each leaf and each idempotency key.
+fn memory() {
+    let title = "resident memory of gates and of remembered keys";
+    let mut table = Table::new(title, "count", &["gates, bytes", "keys, bytes"]);
+    for count in [10_000_usize, 20_000, 40_000, 80_000] {
+        let gates = resident_of(|| {
+            let gate = || Gate::<(u64, CallId)>::new(GateSettings::default());
+            std::iter::repeat_with(gate).take(count).collect::<Vec<_>>()
+        });
+        let keys = resident_of(|| {
+            let mut once = Once::<Bytes>::first(OnceSettings::default());
+            for at in 0..count {
+                let key = format!("order-{at:032}");
+                once.admit(&key, Time::from_millis(1));
+                once.answer(&key, Bytes::from(vec![0; 200]));
+            }
+            once
+        });
+        table.row(count as f64, vec![gates, keys]);
+    }
+    table.print();
+}
+
+/// Returns the mean time of a run, in seconds.
+fn time_of<F>(runs: u32, mut step: F) -> f64
+where
+    F: FnMut(),
+{
+    step();
+    let start = Instant::now();
+    for _ in 0..runs {
+        step();
+    }
+    start.elapsed().as_secs_f64() / f64::from(runs)
+}
+
+/// Returns by how much the resident memory grows while a value is made. The value is kept, so that
+/// its memory does not serve the next one.
+fn resident_of<T, F>(make: F) -> f64
+where
+    F: FnOnce() -> T,
+{
+    let before = resident();
+    std::mem::forget(black_box(make()));
+    resident() - before
+}
+
+/// Returns the resident memory of this process in bytes.
+fn resident() -> f64 {
+    const PAGE: f64 = 4_096.0;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: f64 = text
+        .split(' ')
+        .nth(1)
+        .and_then(|p| p.parse().ok())
+        .unwrap_or(0.0);
+    pages * PAGE
+}
--- a/programs/monsoondeal/src/args.rs
+++ b/programs/monsoondeal/src/args.rs
@@ -11,7 +11,7 @@
 /// Exit codes: 0 done; 1 failed, or not known whether a change was accepted; 2 bad input; 3 accepted,
 /// but not known to be in force everywhere in time.
 #[derive(Debug, Parser)]
-#[command(name = "monsoondeal", version, propagate_version = true)]
+#[command(name = "monsoondeal", version)]
 pub(crate) struct Args {
     #[command(subcommand)]
     pub(crate) command: Command,
--- a/programs/standin/src/main.rs
+++ b/programs/standin/src/main.rs
@@ -8,6 +8,7 @@
 use standin::{leaf, store};
 
 mod demo;
+mod measure;
 
 /// Stand-ins for the systems around the query tier, for tests and the demo.
 #[derive(Debug, Parser)]
@@ -26,6 +27,8 @@
     },
     /// Serves leafs
     Leafs(LeafOptions),
+    /// Measures CPU and memory of real node processes over their number and their load
+    Measure,
     /// Runs the main job on stand-ins, as separate processes
     Demo {
         /// Seconds of load
@@ -45,6 +48,7 @@
     let result = match Args::parse().command {
         Command::Store { listen } => runtime.block_on(store::run(listen)),
         Command::Leafs(options) => runtime.block_on(leaf::run(options)),
+        Command::Measure => runtime.block_on(measure::run()),
         Command::Demo { seconds } => runtime.block_on(demo::run(seconds)),
     };
     match result {
--- a/programs/standin/src/process.rs
+++ b/programs/standin/src/process.rs
@@ -50,6 +50,11 @@
         Ok(Self { child, lines })
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the next line that contains `text`.
     ///
     /// # Errors
--- a/programs/standin/src/system.rs
+++ b/programs/standin/src/system.rs
@@ -290,6 +290,17 @@
         self.put(&format!("map/{}", map.service), map).await
     }
 
+    /// Reads a page as text.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn text(&self, url: &str) -> io::Result<String> {
+        let request = self.client.get(url).map_err(io::Error::other)?;
+        let response = request.send().await.map_err(io::Error::other)?;
+        response.text().await.map_err(io::Error::other)
+    }
+
     fn first_map(&self, shape: &ServiceShape, addrs: &LeafAddrs) -> ServiceMap {
         let base = (self.services.len() as u64 + 1) * LEAF_ID_STEP;
         let leaf = |at: usize, replica: usize| LeafSpec {
--- /dev/null
+++ b/programs/standin/tests/system.rs
@@ -0,0 +1,307 @@
+//! The whole system as separate processes on loopback.
+
+use std::io;
+use std::time::Duration;
+
+use standin::caller::{Balancer, LoadOptions, is_own_answer};
+use standin::leaf::LeafControl;
+use standin::store::Faults;
+use standin::system::{ServiceShape, System};
+
+/// A service of 5 groups and one of single leafs, small enough for a busy machine.
+fn services() -> Vec<ServiceShape> {
+    let args = |text: &str| text.split(' ').map(str::to_owned).collect();
+    vec![ServiceShape {
+        name: "catalogue",
+        owner: "rilegatoria",
+        groups: 5,
+        replicas: 2,
+        leaf_args: args("--slots 3 --connect-ms 2 --service-us 1000 --seed 3"),
+        settings: vec![
+            ("slots", "3"),
+            ("deadline_ms", "5000"),
+            ("cold_gap_ms", "1"),
+        ],
+        kinds: vec![("order", "repeatable", "false")],
+    }]
+}
+
+async fn start(name: &str, nodes: usize) -> io::Result<(System, Balancer)> {
+    let mut system = System::start(name, vec!["p1", "p2", "p3", "p4"])?;
+    for shape in services() {
+        system.add_service(shape).await?;
+    }
+    for _ in 0..nodes {
+        system.add_node()?;
+    }
+    system.wait_ready().await?;
+    let balancer = Balancer::start(system.nodes.iter().map(|n| n.addrs).collect()).await;
+    Ok((system, balancer))
+}
+
+fn load(kind: &str, rate: f64, span: u64) -> LoadOptions {
+    LoadOptions {
+        service: "catalogue".to_owned(),
+        kind: kind.to_owned(),
+        rate,
+        span: Duration::from_secs(span),
+        keyed: kind == "order",
+    }
+}
+
+async fn sleep(millis: u64) {
+    compio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Checks that no leaf was given more than it bears and no order ran twice.
+async fn assert_leafs_unharmed(system: &System) {
+    for stats in system.leaf_stats(0).await.expect("leafs answer") {
+        assert_eq!(stats.over_slots, 0, "calls beyond the slots");
+        assert_eq!(stats.over_connections, 0, "connections beyond the limit");
+        assert!(
+            stats.runs.values().all(|runs| *runs == 1),
+            "orders run once"
+        );
+    }
+}
+
+#[compio::test]
+async fn system_serves_query_and_order() {
+    let (system, balancer) = start("serve", 3).await.expect("the system starts");
+    let query = balancer
+        .send("catalogue", "lookup", None, "marbled paper")
+        .await;
+    let (status, answer) = query.expect("a response");
+    assert_eq!(status, 200);
+    assert!(is_own_answer(&answer, "marbled paper"), "{answer}");
+    assert_eq!(answer["coverage"]["answered"], 5);
+    assert_eq!(answer["coverage"]["total"], 5);
+    assert_eq!(answer["snapshot"]["index"], 1);
+
+    for _ in 0..3 {
+        let order = balancer
+            .send("catalogue", "order", Some("leather-1"), "one hide")
+            .await;
+        let (status, answer) = order.expect("a response");
+        assert_eq!(status, 200, "{answer}");
+        assert!(is_own_answer(&answer, "one hide"), "{answer}");
+    }
+    let stats = system.leaf_stats(0).await.expect("leafs answer");
+    let runs: u32 = stats.iter().filter_map(|s| s.runs.get("leather-1")).sum();
+    assert_eq!(runs, 1);
+    assert_leafs_unharmed(&system).await;
+}
+
+#[compio::test]
+async fn system_planned_stop_cuts_no_request() {
+    let (mut system, balancer) = start("stop", 4).await.expect("the system starts");
+    let (queries, orders, stopped) = futures_util::join!(
+        balancer.load(load("lookup", 60.0, 5)),
+        balancer.load(load("order", 20.0, 5)),
+        async {
+            sleep(1_500).await;
+            system.nodes[1].process.signal("TERM")
+        },
+    );
+    stopped.expect("the signal is sent");
+    assert_eq!((queries.cut, orders.cut), (0, 0), "requests cut");
+    assert_eq!(queries.answered, queries.sent, "{:?}", queries.reasons);
+    assert_eq!(orders.answered, orders.sent, "{:?}", orders.reasons);
+    assert_eq!(queries.wrong + orders.wrong, 0);
+    let ended = system.nodes[1].process.wait_end(Duration::from_secs(15));
+    assert!(ended.expect("the node ends"), "exit code 0");
+    assert_leafs_unharmed(&system).await;
+}
+
+#[compio::test]
+async fn system_node_killed_orders_stay_true() {
+    let (system, balancer) = start("kill", 4).await.expect("the system starts");
+    let (orders, killed) = futures_util::join!(balancer.load(load("order", 50.0, 4)), async {
+        sleep(1_000).await;
+        system.nodes[2].process.signal("KILL")
+    },);
+    killed.expect("the signal is sent");
+    assert!(orders.answered > 0);
+    let stats = system.leaf_stats(0).await.expect("leafs answer");
+    for key in &orders.refused_keys {
+        let ran = stats.iter().any(|s| s.runs.contains_key(key));
+        assert!(!ran, "{key} ran after 'not run'");
+    }
+    assert_leafs_unharmed(&system).await;
+}
+
+#[compio::test]
+async fn system_store_outage_serving_goes_on() {
+    let (mut system, balancer) = start("outage", 3).await.expect("the system starts");
+    system
+        .ctl(&["--wait", "8", "set", "/rilegatoria", "weight", "2"])
+        .expect("in force");
+    system
+        .set_store(Faults {
+            down: true,
+            ..Faults::default()
+        })
+        .await
+        .expect("the store is down");
+    let tally = balancer.load(load("lookup", 30.0, 3)).await;
+    assert_eq!(tally.answered, tally.sent, "{:?}", tally.reasons);
+    assert_eq!(tally.full, tally.sent);
+
+    // A node that starts meanwhile takes the configuration from its peers.
+    let newcomer = system.add_node().expect("the node starts");
+    sleep(3_000).await;
+    let addrs = system.nodes[newcomer].addrs;
+    let old = system
+        .node_state(system.nodes[0].addrs.admin)
+        .await
+        .expect("a state");
+    let new = system.node_state(addrs.admin).await.expect("a state");
+    assert_eq!(new["versions"]["tree"], old["versions"]["tree"]);
+    let answer = balancer
+        .send_to(addrs, "catalogue", "lookup", None, "endband")
+        .await;
+    let (status, answer) = answer.expect("a response");
+    assert_eq!(status, 200, "{answer}");
+
+    system
+        .set_store(Faults::default())
+        .await
+        .expect("the store is up");
+    system
+        .ctl(&["--wait", "15", "set", "/rilegatoria", "weight", "3"])
+        .expect("in force");
+    system.wait_ready().await.expect("the newcomer joins");
+}
+
+#[compio::test]
+async fn system_lost_reply_change_applied_once() {
+    let (system, _) = start("reply", 3).await.expect("the system starts");
+    let before: serde_json::Value =
+        serde_json::from_str(&system.ctl(&["tree"]).expect("a tree")).expect("JSON");
+    system
+        .set_store(Faults {
+            lose_replies: 1,
+            ..Faults::default()
+        })
+        .await
+        .expect("the store is set");
+    let text = system
+        .ctl(&["--json", "set", "/rilegatoria", "weight", "5"])
+        .expect("accepted");
+    let accepted: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    let version = before["version"].as_u64().map(|v| v + 1);
+    assert_eq!(
+        accepted["accepted"].as_u64(),
+        version,
+        "the change is applied once"
+    );
+}
+
+#[compio::test]
+async fn system_version_move_one_snapshot() {
+    let (system, balancer) = start("version", 3).await.expect("the system starts");
+    let mut map = system.services[0].map.clone();
+    let (tally, moved) = futures_util::join!(balancer.load(load("lookup", 50.0, 4)), async {
+        sleep(1_000).await;
+        let control = LeafControl {
+            index: Some(2),
+            ..LeafControl::default()
+        };
+        system.control_leafs(0, &control).await?;
+        sleep(300).await;
+        map.snapshot.index.0 = 2;
+        system.publish_map(&map).await
+    });
+    moved.expect("the version moves");
+    assert_eq!(tally.wrong, 0, "answers mix or count wrongly");
+    let after = balancer
+        .send("catalogue", "lookup", None, "after")
+        .await
+        .expect("a response");
+    assert_eq!(after.1["snapshot"]["index"], 2);
+    assert_eq!(after.1["coverage"]["answered"], 5, "{}", after.1);
+}
+
+#[compio::test]
+async fn system_bad_requests_get_clear_errors() {
+    let (system, balancer) = start("bad", 3).await.expect("the system starts");
+    let node = system.nodes[0].addrs;
+    let cases = [
+        (
+            "nothing",
+            "lookup",
+            None,
+            "x".to_owned(),
+            404,
+            "no service 'nothing'",
+        ),
+        (
+            "catalogue",
+            "NO-NAME",
+            None,
+            "x".to_owned(),
+            400,
+            "request kind must be",
+        ),
+        (
+            "catalogue",
+            "order",
+            None,
+            "x".to_owned(),
+            400,
+            "idempotency-key: is required",
+        ),
+        (
+            "catalogue",
+            "lookup",
+            None,
+            "x".repeat(70_000),
+            413,
+            "at most 65536 bytes",
+        ),
+        (
+            "catalogue",
+            "lookup",
+            Some("k".repeat(300)),
+            "x".to_owned(),
+            400,
+            "1 to 200 bytes",
+        ),
+    ];
+    for (service, kind, key, body, status, text) in cases {
+        let sent = balancer
+            .send_to(node, service, kind, key.as_deref(), &body)
+            .await;
+        let (got, answer) = sent.expect("a response");
+        let place = answer["findings"][0]["place"]["file"]
+            .as_str()
+            .unwrap_or_default();
+        let message = answer["findings"][0]["message"]
+            .as_str()
+            .unwrap_or_default();
+        assert_eq!(got, status, "{answer}");
+        assert!(format!("{place}: {message}").contains(text), "{answer}");
+    }
+}
+
+#[compio::test]
+async fn system_metrics_and_state() {
+    let (system, balancer) = start("metrics", 3).await.expect("the system starts");
+    balancer.load(load("lookup", 20.0, 1)).await;
+    let mut requests = 0.0;
+    for node in &system.nodes {
+        let text = system
+            .text(&format!("http://{}/metrics", node.addrs.admin))
+            .await;
+        let text = text.expect("metrics");
+        let line = text
+            .lines()
+            .find(|l| l.starts_with("monsoondeal_requests_total"));
+        let value = line
+            .and_then(|l| l.rsplit(' ').next())
+            .and_then(|v| v.parse::<f64>().ok());
+        requests += value.expect("a counter");
+        assert!(text.contains("monsoondeal_response_time"), "{text}");
+    }
+    assert!(requests >= 20.0, "{requests}");
+}
