--- /dev/null
+++ b/crates/limit/tests/once.rs
@@ -0,0 +1,167 @@
+//! Idempotency keys are admitted at most once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use monsoondeal_core::{Doubt, Priority, Refusal, Time};
+use monsoondeal_limit::{Admission, Budget, Once, OnceSettings, Seen};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const WINDOW: Duration = Duration::from_secs(30);
+
+fn settings() -> OnceSettings {
+    OnceSettings {
+        window: WINDOW,
+        capacity: 3,
+    }
+}
+
+#[test]
+fn once_remembers_each_end() {
+    let now = Time::from_millis(1_000);
+    let mut table = Once::first(settings());
+    assert_eq!(table.admit("a", now), Seen::New);
+    assert_eq!(table.admit("a", now), Seen::Unknown(Doubt::EarlierRun));
+    table.answer("a", 7);
+    assert_eq!(table.admit("a", now), Seen::Answered(7));
+    assert_eq!(table.admit("b", now), Seen::New);
+    table.refuse("b", Refusal::Overload);
+    assert_eq!(table.admit("b", now), Seen::NotRun(Refusal::Overload));
+    assert_eq!(table.admit("c", now), Seen::New);
+    table.doubt("c", Doubt::NodeLost);
+    assert_eq!(table.admit("c", now), Seen::Unknown(Doubt::NodeLost));
+}
+
+#[test]
+fn once_full_admits_nothing() {
+    let now = Time::from_millis(1_000);
+    let mut table = Once::<u8>::first(settings());
+    for key in ["a", "b", "c"] {
+        assert_eq!(table.admit(key, now), Seen::New);
+    }
+    assert_eq!(table.admit("d", now), Seen::Unknown(Doubt::TableFull));
+}
+
+#[test]
+fn once_successor_is_blind_for_the_window() {
+    let now = Time::from_millis(1_000);
+    let mut table = Once::<u8>::successor(settings(), now);
+    let blind = now + WINDOW - Duration::from_millis(1);
+    assert_eq!(table.admit("a", blind), Seen::Unknown(Doubt::EarlierRun));
+    assert_eq!(table.admit("a", now + WINDOW), Seen::New);
+}
+
+#[test]
+fn once_running_key_outlives_the_window() {
+    let now = Time::from_millis(1_000);
+    let mut table = Once::<u8>::first(settings());
+    table.admit("a", now);
+    let later = now + WINDOW * 2;
+    assert_eq!(table.admit("a", later), Seen::Unknown(Doubt::EarlierRun));
+}
+
+#[test]
+fn once_handover_keeps_keys_and_blindness() {
+    let now = Time::from_millis(100_000);
+    let mut old = Once::successor(settings(), now);
+    let sighted = now + WINDOW;
+    old.admit("a", sighted);
+    old.answer("a", 1);
+    old.admit("b", sighted);
+    // The other node's clock shows something else.
+    let there = Time::from_millis(5);
+    let mut new = Once::successor(settings(), there);
+    new.take_over(old.hand_over(sighted), there);
+    assert_eq!(new.admit("a", there), Seen::Answered(1));
+    assert_eq!(new.admit("b", there), Seen::Unknown(Doubt::EarlierRun));
+    assert_eq!(new.admit("c", there), Seen::New);
+    assert!(old.is_empty());
+
+    let mut blind = Once::<u8>::successor(settings(), now);
+    let mut next = Once::successor(settings(), there);
+    next.take_over(blind.hand_over(now + Duration::from_secs(10)), there);
+    let seen = next.admit("d", there + Duration::from_secs(19));
+    assert_eq!(seen, Seen::Unknown(Doubt::EarlierRun));
+    assert_eq!(next.admit("d", there + Duration::from_secs(20)), Seen::New);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), cases: 512, ..ProptestConfig::default() })]
+
+    /// Over any order of requests and ends within the window, no key is admitted twice.
+    #[test]
+    fn once_admits_each_key_once(
+        steps in proptest::collection::vec((0..6_u8, 0..4_u8, 0..200_u64), 0..150),
+    ) {
+        let mut table = Once::first(OnceSettings { window: WINDOW, capacity: 100 });
+        let mut now = Time::from_millis(1);
+        let mut admitted: BTreeMap<u8, Time> = BTreeMap::new();
+        for (key, action, millis) in steps {
+            now = now + Duration::from_millis(millis);
+            let name = key.to_string();
+            match action {
+                0 => table.answer(&name, key),
+                1 => table.refuse(&name, Refusal::Overload),
+                2 => table.doubt(&name, Doubt::Timeout),
+                _ => {
+                    if table.admit(&name, now) == Seen::New {
+                        let before = admitted.insert(key, now);
+                        let within = before.is_some_and(|at| now.since(at) <= WINDOW);
+                        prop_assert!(!within, "key {} twice", key);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Extra calls stay within the ratio and the reserve, whatever the order.
+    #[test]
+    fn budget_keeps_ratio(steps in proptest::collection::vec(any::<bool>(), 0..2_000)) {
+        let mut budget = Budget::new(0.05, 10.0);
+        let (mut regular, mut extra) = (0_u32, 0_u32);
+        for spend in steps {
+            if spend {
+                extra += u32::from(budget.try_spend());
+            } else {
+                regular += 1;
+                budget.earn(1);
+            }
+            prop_assert!(f64::from(extra) <= f64::from(regular) * 0.05 + 10.0 + 1e-6);
+        }
+    }
+}
+
+#[test]
+fn admission_refuses_least_important_first() {
+    let mut admission = Admission::default();
+    let mut now = Time::from_millis(1_000);
+    for _ in 0..4 {
+        for _ in 0..50 {
+            admission.note(Priority::Normal, true, now, now);
+        }
+        now = now + Duration::from_secs(1);
+    }
+    let shares = Priority::ALL.map(|p| admission.refused_share(p));
+    assert_eq!(shares[0], 0.0);
+    assert!(shares[2] > shares[1], "{shares:?}");
+    let refused = (0..1_000)
+        .filter(|_| !admission.admit(Priority::Bulk))
+        .count();
+    assert!((refused as f64 / 1_000.0 - shares[2]).abs() < 0.01);
+}
+
+#[test]
+fn admission_recovers() {
+    let mut admission = Admission::default();
+    let mut now = Time::from_millis(1_000);
+    for step in 0..200 {
+        admission.note(Priority::First, step < 20, now, now);
+        now = now + Duration::from_secs(1);
+    }
+    assert!(
+        Priority::ALL
+            .iter()
+            .all(|p| admission.refused_share(*p) == 0.0)
+    );
+}
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -87,8 +87,13 @@
         members.dedup_by_key(|m| m.node);
         seats.sort_unstable();
         seats.dedup();
-        let stays = |m: &&Member| self.contains(m.node);
-        let mut taken: BTreeSet<u32> = members.iter().filter(stays).map(|m| m.position).collect();
+        let mut taken = BTreeSet::new();
+        for member in &mut members {
+            if let Some(known) = self.member(member.node) {
+                member.position = known.position;
+                taken.insert(known.position);
+            }
+        }
         for member in members.iter_mut().filter(|m| !self.contains(m.node)) {
             let free = (0..)
                 .find(|number| !taken.contains(number))
