--- a/crates/engine/src/dump.rs
+++ b/crates/engine/src/dump.rs
@@ -18,7 +18,7 @@
     ready: bool,
     confirmed: bool,
     stopping: bool,
-    versions: Versions,
+    versions: VersionsDump,
     roster: &'a Roster,
     peers: Vec<PeerDump>,
     leafs: Vec<LeafDump>,
@@ -29,6 +29,32 @@
     counts: Counts,
 }
 
+/// [`Versions`] with the names that operators read.
+#[derive(Debug, Serialize)]
+struct VersionsDump {
+    tree: u64,
+    epoch: u64,
+    settled: bool,
+    maps: u64,
+}
+
+impl From<Versions> for VersionsDump {
+    fn from(versions: Versions) -> Self {
+        let Versions {
+            tree,
+            epoch,
+            settled,
+            maps,
+        } = versions;
+        Self {
+            tree: tree.0,
+            epoch: epoch.0,
+            settled,
+            maps,
+        }
+    }
+}
+
 #[derive(Debug, Serialize)]
 struct PeerDump {
     addr: std::net::SocketAddr,
@@ -63,7 +89,7 @@
             ready: self.is_ready(now),
             confirmed: self.cell.is_confirmed(now),
             stopping: self.control.stopping,
-            versions: self.versions(),
+            versions: self.versions().into(),
             roster: self.cell.roster(),
             peers,
             leafs: self.leaf_dumps(now),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -8,13 +8,14 @@
 use monsoondeal_member::{Cell, CellSettings, Member};
 use monsoondeal_route::{QuerySettings, ReplicaSettings};
 
-use crate::control::{Config, Control, Link, Peer, Seats};
+use crate::control::{Config, Control, Link, Peer};
 use crate::counts::Counts;
 use crate::entry::{Entry, QueryId};
 use crate::holder::Holder;
 use crate::home::Home;
 use crate::io::{Input, LinkId, Output};
 use crate::message::{Call, CallEnd, Message, Order, OrderEnd};
+use crate::placement::Seats;
 use crate::roles::Roles;
 use crate::timers::Timers;
 
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -15,7 +15,8 @@
 use crate::engine::{Engine, EngineSettings, Local, Timer};
 use crate::home::HomeJob;
 use crate::io::{Fault, Output, Request, Response, Token};
-use crate::message::{Call, CallEnd, Message, Order, OrderEnd};
+use crate::message::{Call, CallEnd, Message};
+use crate::orders::Pending;
 
 /// Retries allowed per regular call, after ends that may have run.
 const RETRY_RATIO: f64 = 0.1;
@@ -25,9 +26,6 @@
 const KEY_LIMIT: usize = 200;
 /// Longest request body, in bytes.
 pub const BODY_LIMIT: usize = 64 * 1024;
-/// Wait before an order is offered to its home again.
-const ORDER_BACKOFF: std::time::Duration = std::time::Duration::from_millis(20);
-
 /// Identity of a query within the node.
 pub(crate) type QueryId = u64;
 
@@ -52,26 +50,16 @@
     body: Bytes,
 }
 
-/// Where a call was sent.
+/// Where a call or an order was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Target {
+pub(crate) enum Target {
     Local,
     Peer(SocketAddr),
 }
 
-/// An order that waits for its home.
-#[derive(Debug)]
-struct Pending {
-    token: Token,
-    order: Order,
-    deadline: Time,
-    /// Where it is, or `None` between two tries.
-    target: Option<Target>,
-}
-
 /// What a caller waits for.
 #[derive(Clone, Copy, Debug)]
-enum Work {
+pub(crate) enum Work {
     Query(QueryId),
     Order,
 }
@@ -104,8 +92,8 @@
     next_id: CallId,
     queries: FixedMap<QueryId, Live>,
     calls: FixedMap<CallId, (QueryId, Target)>,
-    orders: FixedMap<CallId, Pending>,
-    work: FixedMap<Token, Work>,
+    pub(crate) orders: FixedMap<CallId, Pending>,
+    pub(crate) work: FixedMap<Token, Work>,
     pub(crate) replicas: Replicas,
     /// Hedging by service and kind.
     hedging: FixedMap<Rc<str>, Hedging>,
@@ -503,7 +491,7 @@
         }
     }
 
-    fn respond(&mut self, token: Token, response: Response, out: &mut Vec<Output>) {
+    pub(crate) fn respond(&mut self, token: Token, response: Response, out: &mut Vec<Output>) {
         self.entry.work.remove(&token);
         match &response {
             Response::Answered(answer) => {
@@ -517,140 +505,11 @@
         out.push(Output::Respond(token, response));
     }
 
-    fn take_id(&mut self) -> CallId {
+    pub(crate) fn take_id(&mut self) -> CallId {
         let id = self.entry.next_id;
         self.entry.next_id.0 += 1;
         id
     }
-
-    // Orders: requests that may run at most once, on their way to the home of their key.
-
-    fn start_order(
-        &mut self,
-        request: Request,
-        deadline: Time,
-        refuse: Option<Refusal>,
-        now: Time,
-        out: &mut Vec<Output>,
-    ) {
-        // A request that waited out a pause of this process may be a copy that is older than the
-        // home remembers.
-        if now < self.control.suspect_until {
-            return self.respond(request.token, Response::Unknown(Doubt::EarlierRun), out);
-        }
-        let call = self.take_id();
-        let order = Order {
-            call,
-            service: request.service,
-            kind: request.kind,
-            key: request.key.unwrap_or_default(),
-            partition_key: request.partition_key,
-            budget: 0,
-            sent: 0,
-            refuse,
-            body: request.body,
-        };
-        self.entry.work.insert(request.token, Work::Order);
-        let pending = Pending {
-            token: request.token,
-            order,
-            deadline,
-            target: None,
-        };
-        self.entry.orders.insert(call, pending);
-        self.on_order_timer(call, now, out);
-    }
-
-    /// Offers an order to its home, or gives it up at its deadline.
-    pub(crate) fn on_order_timer(&mut self, call: CallId, now: Time, out: &mut Vec<Output>) {
-        let Some(pending) = self.entry.orders.get_mut(&call) else {
-            return;
-        };
-        if now >= pending.deadline {
-            let sent = pending.target.is_some();
-            let doubt = if sent {
-                Doubt::Timeout
-            } else {
-                Doubt::KeysUnreachable
-            };
-            return self.end_order(call, Response::Unknown(doubt), out);
-        }
-        if pending.target.is_some() {
-            return;
-        }
-        let mut order = pending.order.clone();
-        order.budget = pending.deadline.since(now).as_micros() as u64;
-        order.sent = now.as_micros();
-        let deadline = pending.deadline;
-
-        let home = self.home_of(&order.service, &order.key);
-        if home == Some(self.settings.me.node) {
-            self.set_order_target(call, Some(Target::Local), deadline);
-            self.local.push_back(Local::Order(Box::new(order)));
-            return;
-        }
-        match home.and_then(|node| self.reachable(node, now)) {
-            Some(addr) => {
-                self.set_order_target(call, Some(Target::Peer(addr)), deadline);
-                out.push(Output::ToPeer(addr, Message::Order(Box::new(order))));
-            }
-            None => self
-                .timers
-                .set(Timer::Order(call), deadline.min(now + ORDER_BACKOFF)),
-        }
-    }
-
-    pub(crate) fn on_order_end(
-        &mut self,
-        call: CallId,
-        end: OrderEnd,
-        now: Time,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(pending) = self.entry.orders.get_mut(&call) else {
-            return;
-        };
-        match end {
-            OrderEnd::Answered(answer) => {
-                let answer = answer.into_answer();
-                self.end_order(call, Response::Answered(Box::new(answer)), out);
-            }
-            OrderEnd::NotRun(reason) => self.end_order(call, Response::NotRun(reason), out),
-            OrderEnd::Unknown(doubt) => self.end_order(call, Response::Unknown(doubt), out),
-            OrderEnd::NotHome => {
-                // Nothing was recorded there; the home may have moved.
-                pending.target = None;
-                let again = pending.deadline.min(now + ORDER_BACKOFF);
-                self.timers.set(Timer::Order(call), again);
-            }
-        }
-    }
-
-    /// Ends the orders that were sent to a lost peer: they may have run.
-    pub(crate) fn lose_peer_orders(&mut self, addr: SocketAddr, now: Time, out: &mut Vec<Output>) {
-        let orders = self.entry.orders.iter();
-        let lost: Vec<CallId> = orders
-            .filter(|(_, pending)| pending.target == Some(Target::Peer(addr)))
-            .map(|(call, _)| *call)
-            .collect();
-        for call in lost {
-            self.on_order_end(call, OrderEnd::Unknown(Doubt::NodeLost), now, out);
-        }
-    }
-
-    fn set_order_target(&mut self, call: CallId, target: Option<Target>, deadline: Time) {
-        if let Some(pending) = self.entry.orders.get_mut(&call) {
-            pending.target = target;
-        }
-        self.timers.set(Timer::Order(call), deadline);
-    }
-
-    fn end_order(&mut self, call: CallId, response: Response, out: &mut Vec<Output>) {
-        self.timers.clear(Timer::Order(call));
-        if let Some(pending) = self.entry.orders.remove(&call) {
-            self.respond(pending.token, response, out);
-        }
-    }
 }
 
 /// Returns whether a group was lost since leafs could not serve it in time.
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -112,7 +112,7 @@
             }
             LeafEnd::Shed => (Verdict::Shed, CallEnd::NotRun(Refusal::Shed)),
             LeafEnd::Failed => (Verdict::Good(service), CallEnd::Unknown(Doubt::LeafError)),
-            LeafEnd::NoConnection => (Verdict::Broken, CallEnd::NotRun(Refusal::Unreachable)),
+            LeafEnd::NoConnection => (Verdict::Unreachable, CallEnd::NotRun(Refusal::Unreachable)),
             LeafEnd::Broken => (Verdict::Broken, CallEnd::Unknown(Doubt::ConnectionLost)),
         };
         if let Some(gate) = self.holder.gates.get_mut(&running.leaf) {
--- a/crates/engine/src/home.rs
+++ b/crates/engine/src/home.rs
@@ -15,12 +15,12 @@
 use monsoondeal_route::query::Loss;
 use monsoondeal_route::{Answer, Plan, QuerySettings, slot_of};
 
-use crate::control::{KEY_PLACES, key_seat};
 use crate::engine::{Engine, Local, Origin};
 use crate::entry::Purpose;
 use crate::holder::MESSAGE_AGE_LIMIT;
 use crate::io::{Output, Request, Token};
 use crate::message::{Keys, Message, Order, OrderAnswer, OrderEnd};
+use crate::placement::{KEY_PLACES, key_seat};
 
 /// An order under way at its home.
 #[derive(Debug)]
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,9 +5,11 @@
 //!
 //! The parts of the engine, each in a module of its own:
 //!
+//! - `placement`: who holds what, from the roster;
 //! - `control`: the configuration feed, heartbeats and connections to peers;
 //! - `roles`: who watches the store and who writes the roster;
 //! - `entry`: requests of callers and the queries made from them;
+//! - `orders`: requests that may run at most once, on their way to their home;
 //! - `holder`: calls to leafs whose lease this node holds;
 //! - `home`: requests that may run at most once, by idempotency key.
 
@@ -20,6 +22,8 @@
 mod home;
 pub mod io;
 pub mod message;
+mod orders;
+mod placement;
 mod roles;
 mod timers;
 
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -2,7 +2,8 @@
 //!
 //! Each node opens one connection to every other member of its cell and sends its requests there;
 //! answers come back on the same connection. Calls and their ends are most of the traffic, so they
-//! are serialized by hand as plain sequences.
+//! are serialized by hand as plain sequences. Heartbeats are most of the traffic of an idle cell, so
+//! their field names are short on the wire.
 
 use std::fmt;
 use std::time::Duration;
@@ -29,21 +30,29 @@
         cell: String,
     },
     /// Asks for a [`Message::BeatReply`].
+    #[serde(rename = "b")]
     Beat {
         /// When it was sent, by the sender's clock, in microseconds.
+        #[serde(rename = "s")]
         sent: u64,
         /// What the sender knows.
+        #[serde(rename = "v")]
         versions: Versions,
     },
     /// Answers a [`Message::Beat`].
+    #[serde(rename = "r")]
     BeatReply {
         /// The answering node.
+        #[serde(rename = "n")]
         node: NodeId,
         /// `sent` of the question.
+        #[serde(rename = "a")]
         asked: u64,
         /// State of the answering node.
+        #[serde(rename = "h")]
         said: Heartbeat,
         /// What the answering node knows.
+        #[serde(rename = "v")]
         versions: Versions,
     },
     /// Asks for a [`Message::State`].
@@ -75,12 +84,16 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
     /// Of the tree.
+    #[serde(rename = "t")]
     pub tree: TreeVersion,
     /// Of the roster.
+    #[serde(rename = "e")]
     pub epoch: Epoch,
     /// Whether the epoch before has ended.
+    #[serde(rename = "s")]
     pub settled: bool,
     /// Sum of the store versions of all partition maps.
+    #[serde(rename = "m")]
     pub maps: u64,
 }
 
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -80,6 +80,8 @@
     Shed,
     /// Connection failure; the leaf may have restarted.
     Broken,
+    /// No connection could be opened.
+    Unreachable,
 }
 
 /// `Cancelled` tells what a cancellation found.
@@ -114,8 +116,10 @@
     /// Smoothed warm service time, in seconds; zero until the first answer.
     service: f64,
     slow_streak: u32,
-    /// Calls that made room in the queue for more important ones.
-    evicted: Vec<K>,
+    /// Calls that were taken out of the queue and are to be refused.
+    evicted: Vec<(K, Refusal)>,
+    /// Whether the last try to connect failed. Then nothing waits: a call does better elsewhere.
+    down: bool,
     last_use: Time,
 }
 
@@ -134,6 +138,7 @@
             service: 0.0,
             slow_streak: 0,
             evicted: Vec::new(),
+            down: false,
             last_use: Time::default(),
         }
     }
@@ -193,6 +198,9 @@
             };
             return Decision::Refused(reason);
         }
+        if self.down {
+            return Decision::Refused(Refusal::Unreachable);
+        }
         // A wait that cannot end in time is refused at once, while the caller can still go elsewhere.
         if now + self.expected_wait(offer.priority) >= offer.deadline {
             return Decision::Refused(self.overload());
@@ -208,7 +216,8 @@
     fn evict_below(&mut self, priority: Priority) -> bool {
         let lower = &mut self.queues[priority.index() + 1..];
         let evicted = lower.iter_mut().rev().find_map(VecDeque::pop_back);
-        self.evicted.extend(evicted.map(|offer| offer.id));
+        self.evicted
+            .extend(evicted.map(|offer| (offer.id, Refusal::Overload)));
         evicted.is_some()
     }
 
@@ -230,7 +239,14 @@
         match verdict {
             Verdict::Good(service) => self.learn(service),
             Verdict::Shed | Verdict::Broken => self.chill(now),
+            Verdict::Unreachable => {
+                self.chill(now);
+                let waiting = self.queues.iter_mut().flat_map(|q| q.drain(..));
+                self.evicted
+                    .extend(waiting.map(|offer| (offer.id, Refusal::Unreachable)));
+            }
         }
+        self.down = verdict == Verdict::Unreachable;
     }
 
     /// Marks the leaf cold, as after a lost connection.
@@ -242,8 +258,8 @@
 
     /// Returns the next queued call that is due to start or to be refused.
     pub fn poll(&mut self, now: Time) -> Option<(K, Decision)> {
-        if let Some(id) = self.evicted.pop() {
-            return Some((id, Decision::Refused(Refusal::Overload)));
+        if let Some((id, reason)) = self.evicted.pop() {
+            return Some((id, Decision::Refused(reason)));
         }
         for i in 0..self.queues.len() {
             if let Some(offer) = self.queues[i].pop_front_if(|o| now >= o.deadline) {
--- a/crates/limit/tests/gate.rs
+++ b/crates/limit/tests/gate.rs
@@ -94,6 +94,31 @@
     assert!(gate.is_cold());
 }
 
+#[test]
+fn gate_unreachable_leaf_keeps_nobody_waiting() {
+    let (mut gate, now) = warm_gate();
+    for id in 10..14 {
+        gate.offer(offer(id, Priority::First, 9_000), now);
+    }
+    gate.finish(Verdict::Unreachable, now);
+    let refused = Decision::Refused(Refusal::Unreachable);
+    assert_eq!(gate.poll(now), Some((13, refused)));
+    assert_eq!(gate.poll(now), Some((12, refused)));
+    assert_eq!(gate.offer(offer(14, Priority::First, 9_000), now), refused);
+    // One call at a time tries whether the leaf is back.
+    gate.finish(Verdict::Unreachable, now);
+    let later = now + Duration::from_millis(10);
+    assert_eq!(
+        gate.offer(offer(15, Priority::First, 9_000), later),
+        Decision::Start
+    );
+    gate.finish(Verdict::Good(Duration::from_millis(1)), later);
+    assert_eq!(
+        gate.offer(offer(16, Priority::First, 9_000), later),
+        Decision::Queued
+    );
+}
+
 #[test]
 fn gate_turns_cold_after_slow_answers() {
     let (mut gate, now) = warm_gate();
@@ -231,7 +256,8 @@
                     ended.insert(id);
                     gate.finish(match kind {
                         0 => Verdict::Shed,
-                        1 => Verdict::Broken,
+                        1 if millis < 20 => Verdict::Broken,
+                        1 => Verdict::Unreachable,
                         _ => Verdict::Good(Duration::from_millis(millis)),
                     }, now);
                 }
--- a/crates/member/src/cell.rs
+++ b/crates/member/src/cell.rs
@@ -57,12 +57,16 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Latest epoch that the node knows. Never falls.
+    #[serde(rename = "k")]
     pub known: Epoch,
     /// Latest epoch for which the node has no call under way on a leaf that it lost.
+    #[serde(rename = "d")]
     pub drained: Epoch,
     /// Whether the node is stopping and wants to leave the roster.
+    #[serde(rename = "l")]
     pub leaving: bool,
     /// Whether the node has had an answer from the store of late.
+    #[serde(rename = "s")]
     pub store: bool,
 }
 
