--- a/programs/standin/tests/system.rs
+++ b/programs/standin/tests/system.rs
@@ -305,3 +305,82 @@
     }
     assert!(requests >= 20.0, "{requests}");
 }
+
+/// Two operators race: both changes are accepted, one after the other, and neither is lost.
+#[compio::test]
+async fn system_racing_operators_lose_nothing() {
+    let (system, _) = start("race", 3).await.expect("the system starts");
+    let url = system.store_url.clone();
+    let writers: Vec<_> = ["slots", "cold_slots", "warm_after", "deadline_ms", "weight"]
+        .into_iter()
+        .map(|setting| {
+            let url = url.clone();
+            std::thread::spawn(move || {
+                let program = standin::process::program("monsoondeal");
+                let args = ["ctl", "--store", &url, "set", "/rilegatoria", setting, "7"];
+                std::process::Command::new(program).args(args).status()
+            })
+        })
+        .collect();
+    for writer in writers {
+        let status = writer
+            .join()
+            .expect("the thread ends")
+            .expect("the command runs");
+        assert!(status.success());
+    }
+    let tree: serde_json::Value =
+        serde_json::from_str(&system.ctl(&["tree"]).expect("a tree")).expect("JSON");
+    let set = tree["overrides"]["/rilegatoria"]
+        .as_object()
+        .expect("overrides");
+    assert_eq!(set.len(), 5, "{set:?}");
+}
+
+/// The former holder of the say is refused, with the reason; the report on a change is "not known"
+/// while a member cannot be asked.
+#[compio::test]
+async fn system_say_and_report() {
+    let (mut system, _) = start("say", 4).await.expect("the system starts");
+    system.ctl(&["create-owner", "geo"]).expect("created");
+    system
+        .ctl(&["hand-over", "rilegatoria", "--month", "2026-12"])
+        .expect("handed over");
+    let args = [
+        "--as",
+        "rilegatoria",
+        "hand-over",
+        "geo",
+        "--month",
+        "2027-01",
+    ];
+    system.ctl(&args).expect("handed over");
+    let late = ["--as", "rilegatoria", "set", "/", "slots", "9"];
+    let (code, text) = system.ctl_code(&late).expect("the command runs");
+    assert_eq!(code, Some(2), "{text}");
+    assert!(
+        text.contains("'geo' has the final say (month 2027-01, term 2)"),
+        "{text}"
+    );
+
+    system.nodes[3]
+        .process
+        .signal("STOP")
+        .expect("the node stands still");
+    let args = [
+        "--as", "geo", "--json", "--wait", "0", "set", "/", "weight", "4",
+    ];
+    let (code, text) = system.ctl_code(&args).expect("the command runs");
+    assert_eq!(code, Some(3), "{text}");
+    let report: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_ne!(report["force"], "everywhere", "{text}");
+    system.nodes[3]
+        .process
+        .signal("CONT")
+        .expect("the node goes on");
+    let (code, text) = system
+        .ctl_code(&["--wait", "20", "in-force"])
+        .expect("the command runs");
+    assert_eq!(code, Some(0), "{text}");
+    system.nodes.clear();
+}
