--- a/programs/bench/src/tail.rs
+++ b/programs/bench/src/tail.rs
@@ -93,12 +93,12 @@
         ..ours.replicas
     };
     [
-        ours,
         Policy {
             name: "no hedge",
             query: no_hedge,
             ..ours
         },
+        ours,
         Policy {
             name: "fixed-delay hedge",
             query: fixed,
@@ -158,7 +158,7 @@
                 p99,
                 figures.millis(0.999),
                 p99 / clean[at],
-                p99 / clean[1],
+                p99 / clean[0],
                 figures.coverage,
                 figures.extra * 100.0,
                 figures.over_limits,
