--- /dev/null
+++ b/crates/moves/src/conduct.rs
@@ -0,0 +1,141 @@
+//! The conduct of a move, by one node of the cell.
+
+use std::collections::BTreeMap;
+
+use monsoondeal_core::{NodeId, Time};
+
+use crate::evidence::Evidence;
+use crate::plan::Plan;
+use crate::verdict::{Detector, Fault, Verdict, VerdictSettings};
+
+/// `Reversal` is why a move was taken back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reversal {
+    /// A route shows a fault.
+    Fault {
+        /// The route.
+        route: String,
+        /// What is wrong there.
+        fault: Fault,
+    },
+    /// It could not be done by the set time.
+    TooLate,
+    /// An operator wants it.
+    Operator,
+    /// A node has stopped it on its own evidence.
+    Guard {
+        /// The node.
+        node: NodeId,
+    },
+}
+
+/// `State` is how far a move has come. [`State::Done`] and [`State::Reversed`] are final.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// The share is that of a step, which began at the given time.
+    Running {
+        /// Position of the step.
+        step: usize,
+        /// When it began.
+        since: Time,
+    },
+    /// Everything goes to the new version, and the soak is over.
+    Done,
+    /// Everything goes to the old version.
+    Reversed(Reversal),
+}
+
+/// `Conduct` decides on the share of the new version.
+#[derive(Clone, Debug)]
+pub struct Conduct {
+    plan: Plan,
+    detector: Detector,
+    state: State,
+    /// The latest report of each node. A node that is gone keeps its last one.
+    reports: BTreeMap<NodeId, Evidence>,
+}
+
+impl Conduct {
+    /// Begins a move, or goes on with one that another node conducted up to `state`.
+    pub fn new(plan: Plan, settings: VerdictSettings, state: State) -> Self {
+        Self {
+            plan,
+            detector: Detector::new(settings),
+            state,
+            reports: BTreeMap::new(),
+        }
+    }
+
+    /// Returns how far the move has come.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns the share of the new version.
+    pub fn share(&self) -> f64 {
+        match &self.state {
+            State::Running { step, .. } => self.plan.step(*step).map_or(1.0, |s| s.share),
+            State::Done => 1.0,
+            State::Reversed(_) => 0.0,
+        }
+    }
+
+    /// Takes in a node's counts and looks at all of them.
+    pub fn on_report(&mut self, node: NodeId, evidence: Evidence, now: Time) {
+        self.reports.insert(node, evidence);
+        self.look(now);
+    }
+
+    /// Takes in that a node has stopped the move by itself.
+    pub fn on_guard(&mut self, node: NodeId) {
+        self.reverse(Reversal::Guard { node });
+    }
+
+    /// Takes the move back.
+    pub fn on_operator(&mut self) {
+        self.reverse(Reversal::Operator);
+    }
+
+    /// Looks at the evidence and the time.
+    pub fn look(&mut self, now: Time) {
+        let State::Running { step, since } = self.state else {
+            return;
+        };
+        let evidence = self.evidence();
+        let verdict = self.detector.look(&evidence);
+        if let Verdict::Bad { route, fault } = verdict {
+            return self.reverse(Reversal::Fault { route, fault });
+        }
+        let next_is_late = step + 1 < self.plan.steps() && now > self.plan.latest(step + 1);
+        if next_is_late || now >= self.plan.by {
+            return self.reverse(Reversal::TooLate);
+        }
+        let Some(present) = self.plan.step(step) else {
+            return;
+        };
+        // Without a verdict the share stays at its first step.
+        if now < since + present.span || verdict != Verdict::Good {
+            return;
+        }
+        self.state = match self.plan.step(step + 1) {
+            Some(_) => State::Running {
+                step: step + 1,
+                since: now,
+            },
+            None => State::Done,
+        };
+    }
+
+    /// Returns the counts of all nodes.
+    pub fn evidence(&self) -> Evidence {
+        let mut all = Evidence::default();
+        self.reports.values().for_each(|report| all.merge(report));
+        all
+    }
+
+    fn reverse(&mut self, reversal: Reversal) {
+        if matches!(self.state, State::Running { .. }) {
+            self.state = State::Reversed(reversal);
+        }
+    }
+}
--- /dev/null
+++ b/crates/moves/src/guard.rs
@@ -0,0 +1,119 @@
+//! The side of a move at each node: its share, its counts and its own stop.
+
+use std::time::Duration;
+
+use monsoondeal_core::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::evidence::{Evidence, Outcome};
+use crate::verdict::{Detector, Verdict, VerdictSettings};
+
+/// How long a granted share may be used. A node that is cut off from the conductor falls back to
+/// the old version.
+pub const GRANT_SPAN: Duration = Duration::from_secs(3);
+/// Time between two reports while nothing fails.
+pub const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Least time between two reports.
+pub const REPORT_GAP: Duration = Duration::from_millis(10);
+/// What the threshold of one node alone lies above that of all together: there are many nodes that
+/// could give a false alarm.
+const ALONE: f64 = 4.0;
+
+/// `Grant` is the share that a node may send to the new version.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The share.
+    pub share: f64,
+}
+
+/// `Guard` splits the traffic of one node and stops the new version on the node's own evidence.
+#[derive(Clone, Debug)]
+pub struct Guard {
+    detector: Detector,
+    grant: Grant,
+    /// When the grant was asked for.
+    asked: Option<Time>,
+    /// Set once the node's own evidence shows a fault; never cleared.
+    stopped: bool,
+    evidence: Evidence,
+    /// Requests since the last report that should not wait for the next.
+    urgent: bool,
+    reported: Option<Time>,
+    /// Fraction of a request that is due to the new version; spreads them evenly.
+    carry: f64,
+}
+
+impl Guard {
+    /// Creates the side of a node that has no share yet.
+    pub fn new(settings: VerdictSettings) -> Self {
+        let threshold = settings.threshold + ALONE;
+        let alone = VerdictSettings {
+            threshold,
+            ..settings
+        };
+        Self {
+            detector: Detector::new(alone),
+            grant: Grant::default(),
+            asked: None,
+            stopped: false,
+            evidence: Evidence::default(),
+            urgent: false,
+            reported: None,
+            carry: 0.0,
+        }
+    }
+
+    /// Takes in a grant that answers a report sent at `asked`.
+    pub fn on_grant(&mut self, grant: Grant, asked: Time) {
+        if self.asked.is_none_or(|known| asked >= known) {
+            self.grant = grant;
+            self.asked = Some(asked);
+        }
+    }
+
+    /// Returns whether the next request goes to the new version.
+    pub fn pick_new(&mut self, now: Time) -> bool {
+        let fresh = self.asked.is_some_and(|at| now < at + GRANT_SPAN);
+        if self.stopped || !fresh {
+            return false;
+        }
+        self.carry += self.grant.share;
+        if self.carry < 1.0 {
+            return false;
+        }
+        self.carry -= 1.0;
+        true
+    }
+
+    /// Notes the end of a request. Returns whether the node has just stopped the new version.
+    pub fn note(&mut self, route: &str, new: bool, outcome: Outcome) -> bool {
+        self.evidence.add(route, new, outcome);
+        if !new || self.stopped || !(outcome.failed || outcome.slow) {
+            return false;
+        }
+        self.urgent = true;
+        self.stopped = matches!(self.detector.look(&self.evidence), Verdict::Bad { .. });
+        self.stopped
+    }
+
+    /// Returns whether the node has stopped the new version by itself.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped
+    }
+
+    /// Returns the counts if they should be reported now: at once after a fault of the new version,
+    /// else now and then.
+    pub fn report(&mut self, now: Time) -> Option<&Evidence> {
+        let gap = if self.urgent {
+            REPORT_GAP
+        } else {
+            REPORT_PERIOD
+        };
+        if self.reported.is_some_and(|at| now < at + gap) {
+            return None;
+        }
+        self.urgent = false;
+        self.reported = Some(now);
+        Some(&self.evidence)
+    }
+}
--- /dev/null
+++ b/crates/moves/src/verdict.rs
@@ -0,0 +1,229 @@
+//! A test of the new version against the old one that looks after every report.
+//!
+//! For each route, each kind of fault and a few alternatives it keeps a cumulative sum of
+//! log-likelihood ratios that never falls below zero (CUSUM, Page 1954): how much more likely the
+//! latest counts of the new version are under the alternative than under the worst that is tolerated.
+//! A fault that begins late is seen as fast as one from the start, since good requests before it do
+//! not count in the new version's favour. While nothing is wrong, a sum passes a threshold `h` about
+//! once in `exp(h)` requests or less often (Lorden 1971).
+//!
+//! The tolerated rate follows the old version over the same time, so that a cause that hits both
+//! takes nothing back. Sums depend on counts alone, so the counts of many nodes can be added up.
+
+use std::collections::BTreeMap;
+
+use crate::evidence::{Evidence, RouteEvidence, Tally};
+
+/// Failure rates that are told from the tolerated one.
+const FAILURE_RATES: [f64; 4] = [0.01, 0.03, 0.1, 0.4];
+/// Shares of slow requests that are told from the tolerated one.
+const SLOW_SHARES: [f64; 3] = [0.5, 0.7, 0.9];
+/// Share of the old version's requests that are slow by definition.
+const USUAL_SLOW: f64 = 0.25;
+/// Requests of the old version that tell its usual rates.
+const LONG_WINDOW: f64 = 2_000.0;
+/// Requests of the old version that tell whether it is worse than usual just now.
+const SHORT_WINDOW: f64 = 100.0;
+
+/// `Fault` is what is wrong with a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It fails more often.
+    Failing,
+    /// It is slower.
+    Slow,
+}
+
+/// `VerdictSettings` say what is tolerated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct VerdictSettings {
+    /// Sum from which on a version is called bad.
+    pub threshold: f64,
+    /// Failures tolerated, as a multiple of those of the old version.
+    pub failure_factor: f64,
+    /// Failure rate that is tolerated whatever the old version does.
+    pub failure_floor: f64,
+    /// Share of slow requests tolerated, as a multiple of that of the old version, which is a quarter
+    /// in the long run.
+    pub slow_factor: f64,
+    /// Requests of the new version on a route without which it is not called good.
+    pub least_requests: u64,
+}
+
+impl Default for VerdictSettings {
+    fn default() -> Self {
+        Self {
+            threshold: 12.0,
+            failure_factor: 2.0,
+            failure_floor: 0.002,
+            slow_factor: 1.35,
+            least_requests: 200,
+        }
+    }
+}
+
+/// `Verdict` is what the evidence says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Too little is known.
+    Open,
+    /// No route shows a fault, and every route has been tried enough.
+    Good,
+    /// A route shows a fault.
+    Bad {
+        /// The route.
+        route: String,
+        /// What is wrong there.
+        fault: Fault,
+    },
+}
+
+/// The latest requests of the old version; earlier ones fade.
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    requests: f64,
+    failed: f64,
+    slow: f64,
+}
+
+impl Window {
+    fn add(&mut self, counts: Tally, size: f64) {
+        let requests = counts.requests as f64;
+        if self.requests + requests > size {
+            let kept = (1.0 - requests / size).clamp(0.0, 1.0);
+            self.requests *= kept;
+            self.failed *= kept;
+            self.slow *= kept;
+        }
+        self.requests += requests;
+        self.failed += counts.failed as f64;
+        self.slow += counts.slow as f64;
+    }
+
+    fn failure_rate(&self) -> f64 {
+        self.failed / self.requests.max(1.0)
+    }
+
+    /// Returns the failure rate without one failure, which may be chance.
+    fn sure_failure_rate(&self) -> f64 {
+        (self.failed - 1.0).max(0.0) / self.requests.max(1.0)
+    }
+
+    fn slow_share(&self) -> f64 {
+        self.slow / self.requests.max(1.0)
+    }
+}
+
+/// Sums of one route.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sums {
+    /// Counts that have been looked at.
+    seen: RouteEvidence,
+    long: Window,
+    short: Window,
+    failing: [f64; FAILURE_RATES.len()],
+    slow: [f64; SLOW_SHARES.len()],
+}
+
+/// `Detector` looks at counts that grow.
+#[derive(Clone, Debug)]
+pub struct Detector {
+    settings: VerdictSettings,
+    routes: BTreeMap<String, Sums>,
+}
+
+impl Detector {
+    /// Creates a detector that has seen nothing.
+    pub fn new(settings: VerdictSettings) -> Self {
+        Self {
+            settings,
+            routes: BTreeMap::new(),
+        }
+    }
+
+    /// Looks at the counts and returns the verdict on all that was seen so far.
+    pub fn look(&mut self, evidence: &Evidence) -> Verdict {
+        let mut enough = !evidence.routes.is_empty();
+        for (route, counts) in &evidence.routes {
+            let sums = match self.routes.get_mut(route) {
+                Some(sums) => sums,
+                None => self.routes.entry(route.clone()).or_default(),
+            };
+            if let Some(fault) = sums.look(counts, &self.settings) {
+                return Verdict::Bad {
+                    route: route.clone(),
+                    fault,
+                };
+            }
+            enough &= counts.new.requests >= self.settings.least_requests;
+        }
+        if enough { Verdict::Good } else { Verdict::Open }
+    }
+}
+
+impl Sums {
+    fn look(&mut self, counts: &RouteEvidence, settings: &VerdictSettings) -> Option<Fault> {
+        let old = since(counts.old, self.seen.old);
+        let new = since(counts.new, self.seen.new);
+        self.seen = *counts;
+        self.long.add(old, LONG_WINDOW);
+        self.short.add(old, SHORT_WINDOW);
+        if new.requests == 0 || self.long.requests == 0.0 {
+            return None;
+        }
+
+        let rate = self.long.failure_rate().max(self.short.sure_failure_rate());
+        let tolerated = (rate * settings.failure_factor).max(settings.failure_floor);
+        raise(
+            &mut self.failing,
+            &FAILURE_RATES,
+            new.requests,
+            new.failed,
+            tolerated,
+        );
+        let share = self
+            .long
+            .slow_share()
+            .max(self.short.slow_share())
+            .max(USUAL_SLOW);
+        let tolerated = share * settings.slow_factor;
+        raise(
+            &mut self.slow,
+            &SLOW_SHARES,
+            new.requests,
+            new.slow,
+            tolerated,
+        );
+
+        let bad = |sums: &[f64]| sums.iter().any(|sum| *sum >= settings.threshold);
+        if bad(&self.failing) {
+            return Some(Fault::Failing);
+        }
+        bad(&self.slow).then_some(Fault::Slow)
+    }
+}
+
+/// Raises each sum by the log-likelihood ratio of its rate against the tolerated one.
+fn raise(sums: &mut [f64], rates: &[f64], requests: u64, hits: u64, tolerated: f64) {
+    let (hits, misses) = (hits as f64, (requests - hits) as f64);
+    for (sum, rate) in sums.iter_mut().zip(rates) {
+        // What is tolerated just now tells nothing against the new version, nor for it.
+        if *rate <= tolerated {
+            continue;
+        }
+        let ratio =
+            hits * (rate / tolerated).ln() + misses * ((1.0 - rate) / (1.0 - tolerated)).ln();
+        *sum = (*sum + ratio).max(0.0);
+    }
+}
+
+/// Returns what was counted after `seen`. Counts that fell, as after the loss of a node's report,
+/// count as nothing new.
+fn since(counts: Tally, seen: Tally) -> Tally {
+    Tally {
+        requests: counts.requests.saturating_sub(seen.requests),
+        failed: counts.failed.saturating_sub(seen.failed),
+        slow: counts.slow.saturating_sub(seen.slow),
+    }
+    .bounded()
+}
--- a/programs/bench/src/main.rs
+++ b/programs/bench/src/main.rs
@@ -4,6 +4,7 @@
 //! memory are of this machine; each is printed with the sizes that it was measured at.
 
 mod fair;
+mod moves;
 mod overload;
 mod slopes;
 mod tail;
@@ -36,6 +37,8 @@
     Fair,
     /// Answers by priority while a failure domain is out at full load, and when it returns cold
     Overload,
+    /// Version moves, good and bad: requests exposed, wrong reversals, moves done in time
+    Moves,
     /// State, messages, bytes and CPU of each role over several sizes
     Slopes,
 }
@@ -46,6 +49,7 @@
         Command::Tail { queries, brief } => tail::run(args.seed, queries, brief),
         Command::Fair => fair::run(args.seed),
         Command::Overload => overload::run(args.seed),
+        Command::Moves => moves::run(args.seed),
         Command::Slopes => slopes::run(args.seed),
     }
 }
--- a/programs/fakenet/src/lib.rs
+++ b/programs/fakenet/src/lib.rs
@@ -3,7 +3,10 @@
 //! Every node's clock is off by a span of its own, so that no test passes by comparing clocks. All
 //! messages go through the codec. Runs depend on the seed alone.
 
+mod faults;
 mod leafs;
+mod links;
+mod store;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -11,12 +14,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use monsoondeal_config::{Change, ChangeId, Edit, LeafSpec, Level, ServiceMap, Tree};
-use monsoondeal_core::{IndexVersion, LeafId, MapVersion, NodeId, Snapshot, Time};
-use monsoondeal_engine::io::{LeafCall, LeafEnd, LinkId, Object, Request, Response, Ticket, Token};
-use monsoondeal_engine::{
-    Engine, EngineSettings, Input, Message, Output, TREE_KEY, VMS_KEY, VmList, map_key,
-};
+use monsoondeal_core::{LeafId, NodeId, Time};
+use monsoondeal_engine::io::{LeafCall, LeafEnd, LinkId, Request, Response, Ticket, Token};
+use monsoondeal_engine::{Engine, EngineSettings, Input, Message, Output, VMS_KEY, VmList};
 use monsoondeal_limit::OnceSettings;
 use monsoondeal_member::{CellSettings, Member};
 use monsoondeal_route::{QuerySettings, ReplicaSettings};
@@ -24,6 +24,8 @@
 use rand::{RngExt, SeedableRng};
 
 pub use leafs::{LeafMode, Leafs};
+pub use store::first_map;
+use store::first_tree;
 
 /// Name of the service in all tests.
 pub const SERVICE: &str = "catalogue";
@@ -339,26 +341,6 @@
         at
     }
 
-    /// Takes the platform's list away, so that it shows nothing any more.
-    pub fn hide_vms(&mut self) {
-        self.vms_hidden = true;
-    }
-
-    /// Has the platform's list show the VMs that run now, a while from now.
-    fn list_vms_later(&mut self) {
-        let live = self
-            .nodes
-            .iter()
-            .filter(|n| n.alive)
-            .map(|n| n.member.vm.clone());
-        let list = VmList {
-            live: live.collect(),
-            ..VmList::default()
-        };
-        let delay = self.delay(3_000_000..9_000_000);
-        self.push(delay, Event::ListVms(list));
-    }
-
     /// Lets time pass.
     pub fn run_for(&mut self, span: Duration) {
         let end = self.now + span;
@@ -402,24 +384,6 @@
         self.input(node, Input::Stop);
     }
 
-    /// Restarts all leafs: calls under way break, and the leafs are cold for their next calls.
-    pub fn restart_leafs(&mut self, cold_calls: u32) {
-        let events = std::mem::take(&mut self.queue);
-        for Reverse(mut queued) in events {
-            if let Event::LeafEnd { end, .. } = &mut queued.event {
-                *end = LeafEnd::Broken;
-                queued.at = self.now;
-            }
-            self.queue.push(Reverse(queued));
-        }
-        self.leafs.chill_all(cold_calls);
-        for node in self.living() {
-            for leaf in self.leafs.ids() {
-                self.push(Duration::ZERO, Event::Input(node, Input::LeafClosed(leaf)));
-            }
-        }
-    }
-
     /// Returns how a request ended.
     pub fn response(&self, token: Token) -> Option<&Response> {
         self.ended
@@ -428,106 +392,6 @@
             .map(|e| &e.response)
     }
 
-    /// Kills a node. Its connections break at once, or stay silent if `silently`.
-    pub fn kill(&mut self, node: usize, silently: bool) {
-        self.nodes[node].alive = false;
-        self.list_vms_later();
-        self.leafs.forget_node(node);
-        let links: Vec<u64> = self.links_of(node);
-        for link in links {
-            if silently {
-                continue;
-            }
-            self.break_link(link);
-        }
-    }
-
-    /// Stops a node for a while: inputs wait until it is thawed.
-    pub fn freeze(&mut self, node: usize) {
-        self.nodes[node].frozen = true;
-    }
-
-    /// Lets a frozen node go on.
-    pub fn thaw(&mut self, node: usize) {
-        self.nodes[node].frozen = false;
-        let held = std::mem::take(&mut self.nodes[node].held);
-        for input in held {
-            self.input(node, input);
-        }
-        self.input(node, Input::Tick);
-    }
-
-    /// Cuts two nodes off from each other; their connections break.
-    pub fn cut(&mut self, a: usize, b: usize) {
-        self.cut.insert((a.min(b), a.max(b)));
-        let links: Vec<u64> = self.links_of(a);
-        for link in links {
-            let l = self.links[&link];
-            if l.dialer == b || l.acceptor == b {
-                self.break_link(link);
-            }
-        }
-    }
-
-    /// Cuts a node off from all others, and from the store.
-    pub fn isolate(&mut self, node: usize) {
-        for other in 0..self.nodes.len() {
-            if other != node {
-                self.cut(node, other);
-            }
-        }
-        self.store_cut.insert(node);
-    }
-
-    /// Holds back what one node sends another, without breaking the connection.
-    pub fn stall(&mut self, from: usize, to: usize) {
-        self.stalled.insert((from, to));
-    }
-
-    /// Delivers everything that was held back, in order.
-    pub fn release_stalled(&mut self) {
-        self.stalled.clear();
-        for event in std::mem::take(&mut self.held_back) {
-            self.push(Duration::ZERO, event);
-        }
-    }
-
-    /// Heals all cuts.
-    pub fn heal(&mut self) {
-        self.cut.clear();
-        self.store_cut.clear();
-    }
-
-    /// Applies an edit to the tree in the store, in the name of nobody.
-    pub fn edit(&mut self, edit: Edit) -> u64 {
-        let tree = self.tree();
-        let id = ChangeId(self.rng.random());
-        let change = Change {
-            id,
-            actor: None,
-            expects: None,
-            edit,
-        };
-        let next = tree.apply(&change).expect("the edit fits the tree");
-        self.write_tree(&next);
-        next.version.0
-    }
-
-    /// Returns the tree in the store.
-    pub fn tree(&self) -> Tree {
-        let (_, value) = &self.objects[TREE_KEY];
-        serde_json::from_slice(value).expect("the store holds a tree")
-    }
-
-    /// Writes a partition map.
-    pub fn publish_map(&mut self, map: &ServiceMap) {
-        for (group, leaf) in map.leafs() {
-            self.leafs.add(leaf, group, map.snapshot);
-        }
-        let value = serde_json::to_vec(map).expect("maps can be serialized");
-        self.store_object(&map_key(SERVICE), Bytes::from(value));
-    }
-
     /// Returns the positions of living nodes that watch the store.
     pub fn watchers(&self) -> Vec<usize> {
         let watches = |n: &usize| !self.nodes[*n].watched.is_empty();
@@ -573,49 +437,6 @@
         }
     }
 
-    fn write_tree(&mut self, tree: &Tree) {
-        let value = serde_json::to_vec(tree).expect("trees can be serialized");
-        self.store_object(TREE_KEY, Bytes::from(value));
-    }
-
-    fn store_object(&mut self, key: &str, value: Bytes) {
-        self.revision += 1;
-        self.objects.insert(key.to_owned(), (self.revision, value));
-        for node in 0..self.nodes.len() {
-            self.notify(node);
-        }
-    }
-
-    /// Tells a node of watched objects that it has not seen.
-    fn notify(&mut self, node: usize) {
-        if self.store_down || self.store_cut.contains(&node) || !self.nodes[node].alive {
-            return;
-        }
-        let watched = self.nodes[node].watched.clone();
-        for key in watched {
-            let object = self.object(&key);
-            let version = object.as_ref().map(|o| o.version);
-            if self.nodes[node].seen.get(&key) == Some(&version) {
-                continue;
-            }
-            self.nodes[node].seen.insert(key.clone(), version);
-            let asked = self.node_time(node);
-            let delay = self.delay(2_000..6_000);
-            self.push(
-                delay,
-                Event::Input(node, Input::Object { key, object, asked }),
-            );
-        }
-    }
-
-    fn object(&self, key: &str) -> Option<Object> {
-        let (version, value) = self.objects.get(key)?;
-        Some(Object {
-            version: *version,
-            value: value.clone(),
-        })
-    }
-
     /// Returns what a node's clock shows.
     pub fn node_time(&self, node: usize) -> Time {
         self.now + self.nodes[node].skew
@@ -688,23 +509,6 @@
         }
     }
 
-    fn store_write(&mut self, node: usize, key: String, expects: Option<u64>, value: Bytes) {
-        let reachable = !self.store_down && !self.store_cut.contains(&node);
-        let present = self.objects.get(&key).map(|(version, _)| *version);
-        if reachable && present == expects {
-            self.store_object(&key, value);
-        }
-        // A lost reply shows as a failed call after its time limit.
-        let lost = !reachable || self.lose_replies > 0;
-        self.lose_replies = self.lose_replies.saturating_sub(u32::from(reachable));
-        let delay = if lost {
-            Duration::from_secs(3)
-        } else {
-            self.delay(500..2_000)
-        };
-        self.push(delay, Event::Input(node, Input::Written(key)));
-    }
-
     fn start_leaf_call(&mut self, node: usize, call: LeafCall) {
         if !self.nodes[node].alive {
             return;
@@ -814,219 +618,4 @@
             Output::Stopped => self.nodes[node].stopped = true,
         }
     }
-
-    fn set_peers(&mut self, node: usize, addrs: &[SocketAddr]) {
-        let wanted: BTreeSet<SocketAddr> = addrs.iter().copied().collect();
-        let links = self
-            .links
-            .iter()
-            .filter(|(_, l)| l.dialer == node && !wanted.contains(&l.addr));
-        let gone: Vec<u64> = links.map(|(id, _)| *id).collect();
-        for link in gone {
-            // The dialer closes it and asks for no notice.
-            if let Some(l) = self.links.remove(&link) {
-                let delay = self.delay(200..1_000);
-                self.push(
-                    delay,
-                    Event::Input(l.acceptor, Input::LinkDown(LinkId(link))),
-                );
-            }
-        }
-        let before = std::mem::replace(&mut self.nodes[node].wanted_peers, wanted.clone());
-        for addr in wanted.difference(&before) {
-            let delay = self.delay(500..2_000);
-            self.push(
-                delay,
-                Event::Open {
-                    dialer: node,
-                    addr: *addr,
-                },
-            );
-        }
-    }
-
-    /// Opens a connection, or tries again later.
-    fn open(&mut self, dialer: usize, addr: SocketAddr) {
-        if !self.nodes[dialer].alive || !self.nodes[dialer].wanted_peers.contains(&addr) {
-            return;
-        }
-        if self
-            .links
-            .values()
-            .any(|l| l.dialer == dialer && l.addr == addr)
-        {
-            return;
-        }
-        let acceptor = self
-            .nodes
-            .iter()
-            .position(|n| n.member.peer == addr && n.alive);
-        let pair = acceptor.map(|a| (a.min(dialer), a.max(dialer)));
-        let Some(acceptor) = acceptor.filter(|_| !pair.is_some_and(|p| self.cut.contains(&p)))
-        else {
-            let delay = self.delay(100_000..400_000);
-            return self.push(delay, Event::Open { dialer, addr });
-        };
-        self.next_link += 1;
-        let link = Link {
-            dialer,
-            addr,
-            acceptor,
-            last: [self.now; 2],
-        };
-        self.links.insert(self.next_link, link);
-        self.input(dialer, Input::PeerUp(addr));
-    }
-
-    fn send(&mut self, link: u64, to_acceptor: bool, message: Message) {
-        let message = if self.options.codec {
-            self.recode(message)
-        } else {
-            message
-        };
-        let (least, most) = self.options.hop;
-        let delay = self.delay(least..most);
-        let Some(l) = self.links.get_mut(&link) else {
-            return;
-        };
-        let (from, to) = if to_acceptor {
-            (l.dialer, l.acceptor)
-        } else {
-            (l.acceptor, l.dialer)
-        };
-        let stalled = self.stalled.contains(&(from, to));
-        let last = &mut l.last[usize::from(to_acceptor)];
-        *last = (self.now + delay).max(*last);
-        let delay = last.since(self.now);
-        let message = Box::new(message);
-        let event = match to_acceptor {
-            true => Event::ToAcceptor { link, message },
-            false => Event::ToDialer { link, message },
-        };
-        match stalled {
-            true => self.held_back.push(event),
-            false => self.push(delay, event),
-        }
-    }
-
-    /// Sends a message through the codec and counts its bytes.
-    fn recode(&mut self, message: Message) -> Message {
-        let mut bytes = Vec::new();
-        ciborium::into_writer(&message, &mut bytes).expect("messages can be encoded");
-        if is_control(&message) {
-            self.control_bytes += bytes.len() as u64;
-        }
-        ciborium::from_reader(&bytes[..]).expect("messages can be decoded")
-    }
-
-    fn links_of(&self, node: usize) -> Vec<u64> {
-        let links = self
-            .links
-            .iter()
-            .filter(|(_, l)| l.dialer == node || l.acceptor == node);
-        let mut links: Vec<u64> = links.map(|(id, _)| *id).collect();
-        links.sort_unstable();
-        links
-    }
-
-    /// Breaks a connection: what is under way is lost, and both ends are told.
-    fn break_link(&mut self, link: u64) {
-        let Some(l) = self.links.remove(&link) else {
-            return;
-        };
-        let delay = self.delay(200..1_000);
-        self.push(delay, Event::Input(l.dialer, Input::PeerDown(l.addr)));
-        self.push(
-            delay,
-            Event::Input(l.acceptor, Input::LinkDown(LinkId(link))),
-        );
-        let delay = self.delay(100_000..400_000);
-        self.push(
-            delay,
-            Event::Open {
-                dialer: l.dialer,
-                addr: l.addr,
-            },
-        );
-    }
-
-    /// Sets whether the store answers.
-    pub fn set_store_down(&mut self, down: bool) {
-        self.store_down = down;
-        if !down {
-            for node in 0..self.nodes.len() {
-                self.notify(node);
-            }
-        }
-    }
-}
-
-/// Returns whether a message belongs to control, not to a request.
-fn is_control(message: &Message) -> bool {
-    !matches!(
-        message,
-        Message::Call(_)
-            | Message::Cancel(_)
-            | Message::CallEnd(..)
-            | Message::Order(_)
-            | Message::OrderEnd(..)
-    )
-}
-
-/// Returns the tree that tests start with: kinds of all priorities and one that is not repeatable.
-fn first_tree(slots: u32) -> Tree {
-    let mut tree = Tree::default();
-    let mut edits = vec![
-        Edit::CreateOwner {
-            owner: "rilegatoria".to_owned(),
-        },
-        Edit::CreateService {
-            service: SERVICE.to_owned(),
-            owner: "rilegatoria".to_owned(),
-            cell: "main".to_owned(),
-        },
-    ];
-    let set = |kind: &str, setting: &str, value: serde_json::Value| Edit::Set {
-        level: Level::kind("rilegatoria", SERVICE, kind),
-        setting: setting.to_owned(),
-        value,
-    };
-    edits.push(set("urgent", "priority", "first".into()));
-    edits.push(set("report", "priority", "bulk".into()));
-    edits.push(set("order", "repeatable", false.into()));
-    edits.push(Edit::Set {
-        level: "/rilegatoria".parse().expect("a level"),
-        setting: "slots".to_owned(),
-        value: slots.into(),
-    });
-    for (at, edit) in edits.into_iter().enumerate() {
-        let change = Change {
-            id: ChangeId(at as u64),
-            actor: None,
-            expects: None,
-            edit,
-        };
-        tree = tree.apply(&change).expect("the first tree is valid");
-    }
-    tree
-}
-
-/// Returns a partition map of two leafs a group, with identities from `first_leaf` on.
-pub fn first_map(groups: usize, first_leaf: u64) -> ServiceMap {
-    let leaf = |group: usize, replica: usize| {
-        let id = first_leaf + (group * 2 + replica) as u64;
-        LeafSpec {
-            leaf: LeafId(id),
-            addr: SocketAddr::from(([127, 0, 0, 2], 1_000 + id as u16)),
-            domain: DOMAINS[(group + replica) % DOMAINS.len()].to_owned(),
-        }
-    };
-    ServiceMap {
-        service: SERVICE.to_owned(),
-        snapshot: Snapshot {
-            index: IndexVersion(1),
-            map: MapVersion(1),
-        },
-        groups: (0..groups).map(|g| vec![leaf(g, 0), leaf(g, 1)]).collect(),
-    }
 }
--- /dev/null
+++ b/programs/fakenet/src/links.rs
@@ -0,0 +1,158 @@
+//! Connections between nodes.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use monsoondeal_engine::io::LinkId;
+use monsoondeal_engine::{Input, Message};
+
+use crate::{Event, Link, Net};
+
+impl Net {
+    pub(crate) fn set_peers(&mut self, node: usize, addrs: &[SocketAddr]) {
+        let wanted: BTreeSet<SocketAddr> = addrs.iter().copied().collect();
+        let links = self
+            .links
+            .iter()
+            .filter(|(_, l)| l.dialer == node && !wanted.contains(&l.addr));
+        let gone: Vec<u64> = links.map(|(id, _)| *id).collect();
+        for link in gone {
+            // The dialer closes it and asks for no notice.
+            if let Some(l) = self.links.remove(&link) {
+                let delay = self.delay(200..1_000);
+                self.push(
+                    delay,
+                    Event::Input(l.acceptor, Input::LinkDown(LinkId(link))),
+                );
+            }
+        }
+        let before = std::mem::replace(&mut self.nodes[node].wanted_peers, wanted.clone());
+        for addr in wanted.difference(&before) {
+            let delay = self.delay(500..2_000);
+            self.push(
+                delay,
+                Event::Open {
+                    dialer: node,
+                    addr: *addr,
+                },
+            );
+        }
+    }
+
+    /// Opens a connection, or tries again later.
+    pub(crate) fn open(&mut self, dialer: usize, addr: SocketAddr) {
+        if !self.nodes[dialer].alive || !self.nodes[dialer].wanted_peers.contains(&addr) {
+            return;
+        }
+        if self
+            .links
+            .values()
+            .any(|l| l.dialer == dialer && l.addr == addr)
+        {
+            return;
+        }
+        let acceptor = self
+            .nodes
+            .iter()
+            .position(|n| n.member.peer == addr && n.alive);
+        let pair = acceptor.map(|a| (a.min(dialer), a.max(dialer)));
+        let Some(acceptor) = acceptor.filter(|_| !pair.is_some_and(|p| self.cut.contains(&p)))
+        else {
+            let delay = self.delay(100_000..400_000);
+            return self.push(delay, Event::Open { dialer, addr });
+        };
+        self.next_link += 1;
+        let link = Link {
+            dialer,
+            addr,
+            acceptor,
+            last: [self.now; 2],
+        };
+        self.links.insert(self.next_link, link);
+        self.input(dialer, Input::PeerUp(addr));
+    }
+
+    pub(crate) fn send(&mut self, link: u64, to_acceptor: bool, message: Message) {
+        let message = if self.options.codec {
+            self.recode(message)
+        } else {
+            message
+        };
+        let (least, most) = self.options.hop;
+        let delay = self.delay(least..most);
+        let Some(l) = self.links.get_mut(&link) else {
+            return;
+        };
+        let (from, to) = if to_acceptor {
+            (l.dialer, l.acceptor)
+        } else {
+            (l.acceptor, l.dialer)
+        };
+        let stalled = self.stalled.contains(&(from, to));
+        let last = &mut l.last[usize::from(to_acceptor)];
+        *last = (self.now + delay).max(*last);
+        let delay = last.since(self.now);
+        let message = Box::new(message);
+        let event = match to_acceptor {
+            true => Event::ToAcceptor { link, message },
+            false => Event::ToDialer { link, message },
+        };
+        match stalled {
+            true => self.held_back.push(event),
+            false => self.push(delay, event),
+        }
+    }
+
+    /// Sends a message through the codec and counts its bytes.
+    pub(crate) fn recode(&mut self, message: Message) -> Message {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&message, &mut bytes).expect("messages can be encoded");
+        if is_control(&message) {
+            self.control_bytes += bytes.len() as u64;
+        }
+        ciborium::from_reader(&bytes[..]).expect("messages can be decoded")
+    }
+
+    pub(crate) fn links_of(&self, node: usize) -> Vec<u64> {
+        let links = self
+            .links
+            .iter()
+            .filter(|(_, l)| l.dialer == node || l.acceptor == node);
+        let mut links: Vec<u64> = links.map(|(id, _)| *id).collect();
+        links.sort_unstable();
+        links
+    }
+
+    /// Breaks a connection: what is under way is lost, and both ends are told.
+    pub(crate) fn break_link(&mut self, link: u64) {
+        let Some(l) = self.links.remove(&link) else {
+            return;
+        };
+        let delay = self.delay(200..1_000);
+        self.push(delay, Event::Input(l.dialer, Input::PeerDown(l.addr)));
+        self.push(
+            delay,
+            Event::Input(l.acceptor, Input::LinkDown(LinkId(link))),
+        );
+        let delay = self.delay(100_000..400_000);
+        self.push(
+            delay,
+            Event::Open {
+                dialer: l.dialer,
+                addr: l.addr,
+            },
+        );
+    }
+}
+
+/// Returns whether a message belongs to control, not to a request.
+fn is_control(message: &Message) -> bool {
+    !matches!(
+        message,
+        Message::Call(_)
+            | Message::Cancel(_)
+            | Message::CallEnd(..)
+            | Message::Order(_)
+            | Message::OrderEnd(..)
+    )
+}
--- /dev/null
+++ b/programs/fakenet/src/store.rs
@@ -0,0 +1,169 @@
+//! The fake store and what it holds at the start.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use monsoondeal_config::{Change, ChangeId, Edit, LeafSpec, Level, ServiceMap, Tree};
+use monsoondeal_core::{IndexVersion, LeafId, MapVersion, Snapshot};
+use monsoondeal_engine::io::Object;
+use monsoondeal_engine::{Input, TREE_KEY, map_key};
+use rand::RngExt;
+
+use crate::{DOMAINS, Event, Net, SERVICE};
+
+impl Net {
+    /// Applies an edit to the tree in the store, in the name of nobody.
+    pub fn edit(&mut self, edit: Edit) -> u64 {
+        let tree = self.tree();
+        let id = ChangeId(self.rng.random());
+        let change = Change {
+            id,
+            actor: None,
+            expects: None,
+            edit,
+        };
+        let next = tree.apply(&change).expect("the edit fits the tree");
+        self.write_tree(&next);
+        next.version.0
+    }
+
+    /// Returns the tree in the store.
+    pub fn tree(&self) -> Tree {
+        let (_, value) = &self.objects[TREE_KEY];
+        serde_json::from_slice(value).expect("the store holds a tree")
+    }
+
+    /// Writes a partition map.
+    pub fn publish_map(&mut self, map: &ServiceMap) {
+        for (group, leaf) in map.leafs() {
+            self.leafs.add(leaf, group, map.snapshot);
+        }
+        let value = serde_json::to_vec(map).expect("maps can be serialized");
+        self.store_object(&map_key(SERVICE), Bytes::from(value));
+    }
+
+    pub(crate) fn write_tree(&mut self, tree: &Tree) {
+        let value = serde_json::to_vec(tree).expect("trees can be serialized");
+        self.store_object(TREE_KEY, Bytes::from(value));
+    }
+
+    pub(crate) fn store_object(&mut self, key: &str, value: Bytes) {
+        self.revision += 1;
+        self.objects.insert(key.to_owned(), (self.revision, value));
+        for node in 0..self.nodes.len() {
+            self.notify(node);
+        }
+    }
+
+    /// Tells a node of watched objects that it has not seen.
+    pub(crate) fn notify(&mut self, node: usize) {
+        if self.store_down || self.store_cut.contains(&node) || !self.nodes[node].alive {
+            return;
+        }
+        let watched = self.nodes[node].watched.clone();
+        for key in watched {
+            let object = self.object(&key);
+            let version = object.as_ref().map(|o| o.version);
+            if self.nodes[node].seen.get(&key) == Some(&version) {
+                continue;
+            }
+            self.nodes[node].seen.insert(key.clone(), version);
+            let asked = self.node_time(node);
+            let delay = self.delay(2_000..6_000);
+            self.push(
+                delay,
+                Event::Input(node, Input::Object { key, object, asked }),
+            );
+        }
+    }
+
+    pub(crate) fn object(&self, key: &str) -> Option<Object> {
+        let (version, value) = self.objects.get(key)?;
+        Some(Object {
+            version: *version,
+            value: value.clone(),
+        })
+    }
+
+    pub(crate) fn store_write(
+        &mut self,
+        node: usize,
+        key: String,
+        expects: Option<u64>,
+        value: Bytes,
+    ) {
+        let reachable = !self.store_down && !self.store_cut.contains(&node);
+        let present = self.objects.get(&key).map(|(version, _)| *version);
+        if reachable && present == expects {
+            self.store_object(&key, value);
+        }
+        // A lost reply shows as a failed call after its time limit.
+        let lost = !reachable || self.lose_replies > 0;
+        self.lose_replies = self.lose_replies.saturating_sub(u32::from(reachable));
+        let delay = if lost {
+            Duration::from_secs(3)
+        } else {
+            self.delay(500..2_000)
+        };
+        self.push(delay, Event::Input(node, Input::Written(key)));
+    }
+}
+
+/// Returns the tree that tests start with: kinds of all priorities and one that is not repeatable.
+pub(crate) fn first_tree(slots: u32) -> Tree {
+    let mut tree = Tree::default();
+    let mut edits = vec![
+        Edit::CreateOwner {
+            owner: "rilegatoria".to_owned(),
+        },
+        Edit::CreateService {
+            service: SERVICE.to_owned(),
+            owner: "rilegatoria".to_owned(),
+            cell: "main".to_owned(),
+        },
+    ];
+    let set = |kind: &str, setting: &str, value: serde_json::Value| Edit::Set {
+        level: Level::kind("rilegatoria", SERVICE, kind),
+        setting: setting.to_owned(),
+        value,
+    };
+    edits.push(set("urgent", "priority", "first".into()));
+    edits.push(set("report", "priority", "bulk".into()));
+    edits.push(set("order", "repeatable", false.into()));
+    edits.push(Edit::Set {
+        level: "/rilegatoria".parse().expect("a level"),
+        setting: "slots".to_owned(),
+        value: slots.into(),
+    });
+    for (at, edit) in edits.into_iter().enumerate() {
+        let change = Change {
+            id: ChangeId(at as u64),
+            actor: None,
+            expects: None,
+            edit,
+        };
+        tree = tree.apply(&change).expect("the first tree is valid");
+    }
+    tree
+}
+
+/// Returns a partition map of two leafs a group, with identities from `first_leaf` on.
+pub fn first_map(groups: usize, first_leaf: u64) -> ServiceMap {
+    let leaf = |group: usize, replica: usize| {
+        let id = first_leaf + (group * 2 + replica) as u64;
+        LeafSpec {
+            leaf: LeafId(id),
+            addr: SocketAddr::from(([127, 0, 0, 2], 1_000 + id as u16)),
+            domain: DOMAINS[(group + replica) % DOMAINS.len()].to_owned(),
+        }
+    };
+    ServiceMap {
+        service: SERVICE.to_owned(),
+        snapshot: Snapshot {
+            index: IndexVersion(1),
+            map: MapVersion(1),
+        },
+        groups: (0..groups).map(|g| vec![leaf(g, 0), leaf(g, 1)]).collect(),
+    }
+}
