--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod tree;
 
 pub use change::{Change, ChangeId, Edit};
-pub use map::{LeafSpec, ServiceMap};
+pub use map::{LeafSpec, NextVersion, ServiceMap};
 pub use node::NodeSettings;
 pub use setting::{LeafLimits, SETTINGS, Setting, SettingKind};
 pub use tree::{Level, Origin, Resolved, Say, Service, Tree};
--- a/crates/config/src/map.rs
+++ b/crates/config/src/map.rs
@@ -17,6 +17,15 @@
     pub domain: String,
 }
 
+/// `NextVersion` is a version that runs beside the present one, with leafs of its own.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NextVersion {
+    /// What queries to it are pinned to.
+    pub snapshot: Snapshot,
+    /// Replicas of each group.
+    pub groups: Vec<Vec<LeafSpec>>,
+}
+
 /// `ServiceMap` is the partition map of one service, an object of its own in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceMap {
@@ -26,6 +35,9 @@
     pub snapshot: Snapshot,
     /// Replicas of each group; the position is the group's number.
     pub groups: Vec<Vec<LeafSpec>>,
+    /// A version that traffic may move to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<NextVersion>,
 }
 
 impl ServiceMap {
@@ -34,9 +46,13 @@
         self.snapshot.map
     }
 
-    /// Iterates over all leafs with their group.
+    /// Iterates over all leafs with their group, those of the next version included.
     pub fn leafs(&self) -> impl Iterator<Item = (u32, &LeafSpec)> {
-        let groups = self.groups.iter().enumerate();
+        let next = self
+            .next
+            .iter()
+            .flat_map(|next| next.groups.iter().enumerate());
+        let groups = self.groups.iter().enumerate().chain(next);
         groups.flat_map(|(group, leafs)| leafs.iter().map(move |leaf| (group as u32, leaf)))
     }
 
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -11,13 +11,14 @@
 use monsoondeal_config::{ServiceMap, Tree};
 use monsoondeal_core::{FixedMap, LeafId, NodeId, Time};
 use monsoondeal_member::Roster;
+use monsoondeal_moves::MoveRecord;
 use monsoondeal_route::Plan;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{Engine, Timer};
 use crate::io::{LinkId, Object, Output};
-use crate::message::{Message, State, StoredMap, Versions};
+use crate::message::{Message, State, StoredMap, StoredMove, Versions};
 
 /// A pause of the whole process longer than this makes requests that waited meanwhile suspect.
 const PAUSE_LIMIT: Duration = Duration::from_secs(5);
@@ -49,12 +50,22 @@
     format!("map/{service}")
 }
 
+/// Prefix of the keys of version moves in the store.
+const MOVE_PREFIX: &str = "move/";
+
+/// Returns the key of a service's version move in the store.
+pub fn move_key(service: &str) -> String {
+    format!("{MOVE_PREFIX}{service}")
+}
+
 /// A partition map and the plan made from it.
 #[derive(Clone, Debug)]
 pub(crate) struct MapState {
     pub(crate) revision: u64,
     pub(crate) map: Rc<ServiceMap>,
     pub(crate) plan: Rc<Plan>,
+    /// Plan of the next version, if there is one.
+    pub(crate) next: Option<Rc<Plan>>,
 }
 
 /// What is known of a leaf.
@@ -102,6 +113,8 @@
 /// A connection that a peer has opened.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Link {
+    /// Node that opened it.
+    node: Option<NodeId>,
     /// `sent` of the newest heartbeat.
     beat: u64,
     /// Least difference seen between this clock and the peer's.
@@ -145,7 +158,8 @@
                 .unwrap_or_default(),
             epoch: roster.epoch,
             settled: roster.previous.is_none(),
-            maps: self.config.maps.values().map(|m| m.revision).sum(),
+            maps: self.config.maps.values().map(|m| m.revision).sum::<u64>()
+                + self.moves.values().map(|m| m.revision).sum::<u64>(),
         }
     }
 
@@ -175,6 +189,15 @@
         self.lose_peer_orders(addr, now, out);
     }
 
+    pub(crate) fn on_hello(&mut self, link: LinkId, node: NodeId) {
+        self.links.entry(link).or_default().node = Some(node);
+    }
+
+    /// Returns the node that opened a connection.
+    pub(crate) fn link_node(&self, link: LinkId) -> Option<NodeId> {
+        self.links.get(&link).and_then(|l| l.node)
+    }
+
     pub(crate) fn on_link_down(&mut self, link: LinkId) {
         self.links.remove(&link);
     }
@@ -219,6 +242,9 @@
         for stored in state.maps {
             self.learn_map(stored, now);
         }
+        for stored in state.moves {
+            self.learn_move(stored);
+        }
         if let Some(roster) = state.roster {
             self.learn_roster(roster, now, out);
         }
@@ -262,6 +288,15 @@
             };
             self.cell
                 .set_vms(vms.live.into_iter().chain(vms.leaving).collect());
+        } else if key.starts_with(MOVE_PREFIX) {
+            let Some(record) = self.parse::<MoveRecord>(key, object.as_ref()) else {
+                return;
+            };
+            let revision = object.map_or(0, |o| o.version);
+            let stored = StoredMove { revision, record };
+            if self.learn_move(stored.clone()) {
+                news.moves.push(stored);
+            }
         } else if let Some(object) = &object {
             let Some(map) = self.parse::<ServiceMap>(key, Some(object)) else {
                 return;
@@ -305,6 +340,7 @@
         self.cell.refresh(now);
         self.update_peers(now, out);
         self.update_roles(now, out);
+        self.update_moves(now, out);
     }
 
     pub(crate) fn on_stop(&mut self, now: Time, out: &mut Vec<Output>) {
@@ -404,6 +440,7 @@
             revision,
             map: Rc::new(map),
             plan: Rc::default(),
+            next: None,
         };
         self.config.maps.insert(service.to_string(), state);
         self.rebuild_plans();
@@ -480,7 +517,14 @@
 
     fn state(&self) -> State {
         let maps = self.config.maps.values();
+        let moves = self.moves.values();
         State {
+            moves: moves
+                .map(|m| StoredMove {
+                    revision: m.revision,
+                    record: m.record.clone(),
+                })
+                .collect(),
             tree: self.config.tree.as_deref().cloned(),
             roster: Some(self.cell.roster().clone()),
             maps: maps
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,11 +1,12 @@
 //! The engine and the dispatch of its inputs.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use monsoondeal_core::{CallId, FixedMap, LeafId, Time};
 use monsoondeal_limit::OnceSettings;
 use monsoondeal_member::{Cell, CellSettings, Member};
+use monsoondeal_moves::WallClock;
 use monsoondeal_route::{QuerySettings, ReplicaSettings};
 
 use crate::control::{Config, Control, Link, Peer};
@@ -17,6 +18,7 @@
 use crate::message::{Call, CallEnd, Message, Order, OrderEnd};
 use crate::placement::Seats;
 use crate::roles::Roles;
+use crate::shift::Moving;
 use crate::timers::Timers;
 
 /// `EngineSettings` configure an engine.
@@ -38,6 +40,8 @@
     pub query: QuerySettings,
     /// Most requests of callers under way.
     pub inflight: usize,
+    /// Unix time, for the set times of version moves.
+    pub wall: WallClock,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -85,6 +89,8 @@
     pub(crate) seats: Seats,
     pub(crate) control: Control,
     pub(crate) roles: Roles,
+    /// Version moves by service.
+    pub(crate) moves: BTreeMap<String, Moving>,
     /// Peers that this node connects to.
     pub(crate) peers: FixedMap<SocketAddr, Peer>,
     pub(crate) links: FixedMap<LinkId, Link>,
@@ -114,6 +120,7 @@
             seats: Seats::default(),
             control: Control::default(),
             roles: Roles::default(),
+            moves: BTreeMap::new(),
             peers: FixedMap::default(),
             links: FixedMap::default(),
             holder: Holder::default(),
@@ -214,6 +221,13 @@
                 self.compare_versions(addr, versions, now, out);
             }
             Message::State(state) => self.on_state(*state, now, out),
+            Message::MoveGrant {
+                service,
+                asked,
+                share,
+            } => {
+                self.on_move_grant(&service, asked, share);
+            }
             Message::CallEnd(call, end) if self.entry.was_sent_to(call, addr) => {
                 self.on_call_end(call, end, now, out);
             }
@@ -233,7 +247,17 @@
         out: &mut Vec<Output>,
     ) {
         match message {
-            Message::Hello { .. } => {}
+            Message::Hello { node, .. } => self.on_hello(link, node),
+            Message::MoveReport(report) => {
+                if let Some(node) = self.link_node(link) {
+                    self.on_move_report(Origin::Link(link), node, *report, now, out);
+                }
+            }
+            Message::MoveStop(service) => {
+                if let Some(node) = self.link_node(link) {
+                    self.on_move_stop(&service, node, now, out);
+                }
+            }
             Message::Beat { sent, .. } => self.on_beat(link, sent, now, out),
             Message::Fetch => self.send_state(link, out),
             Message::State(state) => self.on_state(*state, now, out),
@@ -244,7 +268,10 @@
             Message::Call(call) => self.on_call(Origin::Link(link), *call, now, out),
             Message::Cancel(call) => self.on_cancel(Origin::Link(link), call),
             Message::Order(order) => self.on_order(Origin::Link(link), *order, now, out),
-            Message::BeatReply { .. } | Message::CallEnd(..) | Message::OrderEnd(..) => {}
+            Message::BeatReply { .. }
+            | Message::MoveGrant { .. }
+            | Message::CallEnd(..)
+            | Message::OrderEnd(..) => {}
         }
     }
 }
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -32,8 +32,8 @@
 /// What a query is run for.
 #[derive(Debug)]
 pub(crate) enum Purpose {
-    /// A caller's request.
-    Caller(Token),
+    /// A caller's request; during a version move, whether it went to the new version.
+    Caller(Token, Option<bool>),
     /// A request that may run at most once, by this node as the home of its key.
     Home(HomeJob),
 }
@@ -162,12 +162,8 @@
         if let Some(reason) = refuse {
             return self.respond(token, Response::NotRun(reason), out);
         }
-        let Some(plan) = self
-            .config
-            .maps
-            .get(&request.service)
-            .map(|m| m.plan.clone())
-        else {
+        let version = self.pick_version(&request.service, now);
+        let Some(plan) = self.plan_of(&request.service, version) else {
             return self.respond(token, Response::NotRun(Refusal::Unreachable), out);
         };
         let settings = QuerySettings {
@@ -175,7 +171,7 @@
             ..self.settings.query
         };
         let id = self.start_query(
-            Purpose::Caller(token),
+            Purpose::Caller(token, version),
             plan,
             settings,
             &request,
@@ -340,6 +336,15 @@
             .map_err(|f| Response::Fault(Fault::Malformed(f)))
     }
 
+    /// Returns the plan of a service's present version, or of the next one.
+    pub(crate) fn plan_of(&self, service: &str, version: Option<bool>) -> Option<Rc<Plan>> {
+        let map = self.config.maps.get(service)?;
+        match version {
+            Some(true) => map.next.clone(),
+            _ => Some(map.plan.clone()),
+        }
+    }
+
     /// Returns the reason to refuse a request of that priority, if the node or the service is too
     /// busy for it.
     fn admission(&mut self, service: &str, priority: Priority) -> Option<Refusal> {
@@ -415,7 +420,12 @@
         let answer = live.query.into_answer(now);
         self.note_load(&live.service, live.priority, &answer, now);
         match live.purpose {
-            Purpose::Caller(token) => self.respond(token, response(answer), out),
+            Purpose::Caller(token, version) => {
+                if let Some(new) = version {
+                    self.note_version(&live.service, &live.kind, new, &answer, now, out);
+                }
+                self.respond(token, response(answer), out);
+            }
             Purpose::Home(job) => self.finish_home_job(job, answer, now, out),
         }
     }
--- a/crates/engine/src/home.rs
+++ b/crates/engine/src/home.rs
@@ -64,6 +64,7 @@
             elapsed: Duration::ZERO,
             calls: 1,
             hedges: 0,
+            errors: 0,
         }
     }
 }
@@ -292,7 +293,12 @@
 
     /// Returns the plan of the one group that an order is for.
     fn order_plan(&self, order: &Order) -> Option<Rc<Plan>> {
-        let plan = &self.config.maps.get(&order.service)?.plan;
+        // Orders stay on the old version until a move is done.
+        let done = self.moves.get(&order.service).is_some_and(|m| m.is_done());
+        let next = done
+            .then(|| self.plan_of(&order.service, Some(true)))
+            .flatten();
+        let plan = next.or_else(|| self.plan_of(&order.service, None))?;
         let selector = order.partition_key.as_deref().unwrap_or(&order.key);
         let at = slot_of(&order.service, selector, plan.groups.len());
         let group = plan.groups.get(at)?.clone();
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `roles`: who watches the store and who writes the roster;
 //! - `entry`: requests of callers and the queries made from them;
 //! - `orders`: requests that may run at most once, on their way to their home;
+//! - `shift`: version moves;
 //! - `holder`: calls to leafs whose lease this node holds;
 //! - `home`: requests that may run at most once, by idempotency key.
 
@@ -25,9 +26,10 @@
 mod orders;
 mod placement;
 mod roles;
+mod shift;
 mod timers;
 
-pub use control::{TREE_KEY, VMS_KEY, VmList, map_key, roster_key};
+pub use control::{TREE_KEY, VMS_KEY, VmList, map_key, move_key, roster_key};
 pub use counts::Counts;
 pub use engine::{Engine, EngineSettings};
 pub use entry::BODY_LIMIT;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -15,6 +15,7 @@
 };
 use monsoondeal_limit::Handover;
 use monsoondeal_member::{Heartbeat, Roster};
+use monsoondeal_moves::{Evidence, MoveRecord};
 use serde::de::{self, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -68,6 +69,19 @@
         /// The leafs.
         leafs: Vec<(LeafId, Duration)>,
     },
+    /// What a node has counted during a version move, for the conductor.
+    MoveReport(Box<MoveReport>),
+    /// Answers a [`Message::MoveReport`]: the share that the node may send to the new version.
+    MoveGrant {
+        /// The service.
+        service: String,
+        /// `sent` of the report.
+        asked: u64,
+        /// The share.
+        share: f64,
+    },
+    /// A version move of this service must stop: a node tells the conductor, or the conductor all.
+    MoveStop(String),
     /// A call to a leaf that the receiver holds.
     Call(Box<Call>),
     /// The answer to a call is no longer wanted.
@@ -92,7 +106,7 @@
     /// Whether the epoch before has ended.
     #[serde(rename = "s")]
     pub settled: bool,
-    /// Sum of the store versions of all partition maps.
+    /// Sum of the store versions of all partition maps and version moves.
     #[serde(rename = "m")]
     pub maps: u64,
 }
@@ -115,6 +129,26 @@
     pub map: ServiceMap,
 }
 
+/// `StoredMove` is the record of a version move with its version in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredMove {
+    /// Version in the store.
+    pub revision: u64,
+    /// The record.
+    pub record: MoveRecord,
+}
+
+/// `MoveReport` is what a node has counted since a version move began.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MoveReport {
+    /// The service.
+    pub service: String,
+    /// When it was sent, by the sender's clock, in microseconds.
+    pub sent: u64,
+    /// All counts so far.
+    pub evidence: Evidence,
+}
+
 /// `State` is all configuration that a node has.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
@@ -124,6 +158,8 @@
     pub roster: Option<Roster>,
     /// Partition maps of the cell's services.
     pub maps: Vec<StoredMap>,
+    /// Version moves of the cell's services.
+    pub moves: Vec<StoredMove>,
 }
 
 /// `Keys` hands a place of idempotency keys to its new home.
--- a/crates/engine/src/placement.rs
+++ b/crates/engine/src/placement.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use monsoondeal_core::{LeafId, LeafSeat, Time};
+use monsoondeal_config::LeafSpec;
+use monsoondeal_core::{LeafId, LeafSeat, Snapshot, Time};
 use monsoondeal_route::{Placement, Plan, PlanGroup, place, seat};
 
 use crate::control::LeafInfo;
@@ -47,20 +48,23 @@
             let tree = tree.as_ref();
             tree.is_some_and(|t| t.domains_out.contains(domain) || t.leaving.contains(&leaf))
         };
-        for state in self.config.maps.values_mut() {
-            let groups = state.map.groups.iter().enumerate();
-            let groups = groups.map(|(group, leafs)| {
+        let plan = |snapshot: Snapshot, groups: &[Vec<LeafSpec>]| {
+            let groups = groups.iter().enumerate().map(|(group, leafs)| {
                 let callable = leafs.iter().filter(|l| !is_out(l.leaf, &l.domain));
                 PlanGroup {
                     group: group as u32,
                     leafs: callable.map(|l| l.leaf).collect(),
                 }
             });
-            let plan = Plan {
-                snapshot: state.map.snapshot,
+            Rc::new(Plan {
+                snapshot,
                 groups: groups.collect(),
-            };
-            state.plan = Rc::new(plan);
+            })
+        };
+        for state in self.config.maps.values_mut() {
+            state.plan = plan(state.map.snapshot, &state.map.groups);
+            let next = state.map.next.as_ref();
+            state.next = next.map(|next| plan(next.snapshot, &next.groups));
         }
     }
 
--- a/crates/engine/src/roles.rs
+++ b/crates/engine/src/roles.rs
@@ -12,7 +12,7 @@
 use monsoondeal_core::{Epoch, NodeId, Time};
 use monsoondeal_member::Roster;
 
-use crate::control::{TREE_KEY, VMS_KEY, map_key, roster_key};
+use crate::control::{TREE_KEY, VMS_KEY, map_key, move_key, roster_key};
 use crate::engine::Engine;
 use crate::io::Output;
 
@@ -120,7 +120,8 @@
             wanted.insert(VMS_KEY.to_owned());
             wanted.insert(roster_key(&self.settings.cell));
             if let Some(tree) = &self.config.tree {
-                wanted.extend(tree.cell_services(&self.settings.cell).map(map_key));
+                let services = tree.cell_services(&self.settings.cell);
+                wanted.extend(services.flat_map(|service| [map_key(service), move_key(service)]));
             }
         }
         if wanted != self.roles.watched {
--- /dev/null
+++ b/crates/engine/src/shift.rs
@@ -0,0 +1,333 @@
+//! Version moves: this node's share of the traffic, and the conduct of a move by one node.
+//!
+//! The member of lowest identity that reaches the store conducts the moves of its cell. It keeps
+//! nothing that cannot be lost: the step is in the store, and nodes report all that they have counted.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use monsoondeal_core::{FixedMap, NodeId, Time};
+use monsoondeal_moves::{
+    Conduct, Evidence, Grant, Guard, MoveRecord, Outcome, Progress, State, VerdictSettings,
+    WallClock,
+};
+use monsoondeal_route::{Answer, ResponseQuantile};
+
+use crate::control::move_key;
+use crate::engine::{Engine, Origin};
+use crate::io::Output;
+use crate::message::{Message, MoveReport, StoredMove};
+
+/// Share of the old version's requests that count as slow.
+const SLOW_SHARE: f64 = 0.25;
+/// Time after which a write of a record is tried again.
+const WRITE_LIMIT: Duration = Duration::from_secs(4);
+
+/// A move of one service as this node knows it.
+#[derive(Debug)]
+pub(crate) struct Moving {
+    pub(crate) revision: u64,
+    pub(crate) record: MoveRecord,
+    guard: Guard,
+    /// Usual response time of the old version by route.
+    usual: FixedMap<String, ResponseQuantile>,
+    /// Present at the node that conducts the move.
+    conduct: Option<Conduct>,
+    /// Since when a write of the record is under way.
+    writing: Option<Time>,
+}
+
+impl Moving {
+    fn new(stored: StoredMove) -> Self {
+        Self {
+            revision: stored.revision,
+            record: stored.record,
+            guard: Guard::new(VerdictSettings::default()),
+            usual: FixedMap::default(),
+            conduct: None,
+            writing: None,
+        }
+    }
+
+    /// Returns the conduct of the move, which goes on from the record.
+    fn conduct(&mut self, wall: WallClock) -> &mut Conduct {
+        let record = &self.record;
+        self.conduct.get_or_insert_with(|| {
+            Conduct::new(
+                record.plan(wall),
+                VerdictSettings::default(),
+                record.state(wall),
+            )
+        })
+    }
+
+    /// Returns whether everything goes to the new version.
+    pub(crate) fn is_done(&self) -> bool {
+        self.record.progress == Progress::Done
+    }
+
+    /// Returns whether an answer is slow for its route, and learns from those of the old version.
+    fn is_slow(&mut self, route: &str, new: bool, elapsed: Duration) -> bool {
+        let usual = match self.usual.get_mut(route) {
+            Some(usual) => usual,
+            None => {
+                let quantile = ResponseQuantile::above(SLOW_SHARE);
+                self.usual.entry(route.to_owned()).or_insert(quantile)
+            }
+        };
+        let slow = usual.value().is_some_and(|usual| elapsed > usual);
+        if !new {
+            usual.note(elapsed);
+        }
+        slow
+    }
+}
+
+impl Engine {
+    /// Returns whether the next request for a service goes to its new version, or `None` if there
+    /// is no move under way.
+    pub(crate) fn pick_version(&mut self, service: &str, now: Time) -> Option<bool> {
+        let moving = self.moves.get_mut(service)?;
+        let next = self.config.maps.get(service)?.next.as_ref()?;
+        if next.snapshot != moving.record.to {
+            return None;
+        }
+        match moving.record.progress {
+            Progress::Running { .. } => Some(moving.guard.pick_new(now)),
+            Progress::Done => Some(true),
+            Progress::Reversed { .. } => Some(false),
+        }
+    }
+
+    /// Counts the end of a request during a move.
+    pub(crate) fn note_version(
+        &mut self,
+        service: &str,
+        route: &str,
+        new: bool,
+        answer: &Answer<Bytes>,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(moving) = self.moves.get_mut(service) else {
+            return;
+        };
+        if !moving.record.is_running() {
+            return;
+        }
+        let failed = answer.errors > 0 || answer.coverage.answered == 0;
+        let slow = moving.is_slow(route, new, answer.elapsed);
+        let stopped = moving.guard.note(route, new, Outcome { failed, slow });
+        if stopped {
+            self.send_to_conductor(Message::MoveStop(service.to_owned()), now, out);
+        }
+        self.report_move(service, now, out);
+    }
+
+    /// Takes in a record. Returns whether it is news.
+    pub(crate) fn learn_move(&mut self, stored: StoredMove) -> bool {
+        let service = stored.record.service.clone();
+        match self.moves.get_mut(&service) {
+            Some(known) if stored.revision <= known.revision => false,
+            // The same move goes on: what was counted stays.
+            Some(known) if stored.record.start == known.record.start => {
+                known.revision = stored.revision;
+                known.record = stored.record;
+                known.writing = None;
+                true
+            }
+            _ => {
+                self.moves.insert(service, Moving::new(stored));
+                true
+            }
+        }
+    }
+
+    /// Reports, conducts and writes what is due.
+    pub(crate) fn update_moves(&mut self, now: Time, out: &mut Vec<Output>) {
+        let services: Vec<String> = self.moves.keys().cloned().collect();
+        for service in services {
+            self.remind_of_stop(&service, now, out);
+            self.report_move(&service, now, out);
+            self.conduct_move(&service, now, out);
+        }
+    }
+
+    pub(crate) fn on_move_report(
+        &mut self,
+        from: Origin,
+        node: NodeId,
+        report: MoveReport,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        if self.conductor(now) != Some(self.settings.me.node) {
+            return;
+        }
+        let wall = self.settings.wall;
+        let Some(moving) = self.moves.get_mut(&report.service) else {
+            return;
+        };
+        if !moving.record.is_running() {
+            return;
+        }
+        let record = &moving.record;
+        let conduct = moving.conduct.get_or_insert_with(|| {
+            Conduct::new(
+                record.plan(wall),
+                VerdictSettings::default(),
+                record.state(wall),
+            )
+        });
+        conduct.on_report(node, report.evidence, now);
+        // Everything goes to the new version only once that is written down.
+        let share = conduct.share();
+        let grant = Message::MoveGrant {
+            service: report.service.clone(),
+            asked: report.sent,
+            share,
+        };
+        match from {
+            Origin::Local => self.on_move_grant(&report.service, report.sent, share),
+            Origin::Link(link) => out.push(Output::ToLink(link, grant)),
+        }
+        self.conduct_move(&report.service, now, out);
+    }
+
+    pub(crate) fn on_move_grant(&mut self, service: &str, asked: u64, share: f64) {
+        if let Some(moving) = self.moves.get_mut(service) {
+            moving
+                .guard
+                .on_grant(Grant { share }, Time::from_micros(asked));
+        }
+    }
+
+    /// Handles that a node has stopped a move by itself, or that the conductor has.
+    pub(crate) fn on_move_stop(
+        &mut self,
+        service: &str,
+        node: NodeId,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let conductor = self.conductor(now);
+        let Some(moving) = self.moves.get_mut(service) else {
+            return;
+        };
+        if Some(node) == conductor {
+            moving.guard.stop();
+        }
+        if conductor == Some(self.settings.me.node) && moving.record.is_running() {
+            moving.conduct(self.settings.wall).on_guard(node);
+        }
+        self.conduct_move(service, now, out);
+    }
+
+    /// Returns the node that conducts the moves of the cell.
+    fn conductor(&self, now: Time) -> Option<NodeId> {
+        self.cell.reaching_store(now).first().copied()
+    }
+
+    fn report_move(&mut self, service: &str, now: Time, out: &mut Vec<Output>) {
+        let Some(moving) = self.moves.get_mut(service) else {
+            return;
+        };
+        if !moving.record.is_running() {
+            return;
+        }
+        let Some(evidence) = moving.guard.report(now) else {
+            return;
+        };
+        let evidence: Evidence = evidence.clone();
+        let report = MoveReport {
+            service: service.to_owned(),
+            sent: now.as_micros(),
+            evidence,
+        };
+        self.send_to_conductor(Message::MoveReport(Box::new(report)), now, out);
+    }
+
+    fn send_to_conductor(&mut self, message: Message, now: Time, out: &mut Vec<Output>) {
+        let Some(conductor) = self.conductor(now) else {
+            return;
+        };
+        let me = self.settings.me.node;
+        if conductor == me {
+            match message {
+                Message::MoveReport(report) => {
+                    self.on_move_report(Origin::Local, me, *report, now, out);
+                }
+                Message::MoveStop(service) => self.on_move_stop(&service, me, now, out),
+                _ => {}
+            }
+            return;
+        }
+        if let Some(addr) = self.reachable(conductor, now) {
+            self.counts.control_messages += 1;
+            out.push(Output::ToPeer(addr, message));
+        }
+    }
+
+    /// Tells the conductor again that a move was stopped here, until its record says so: an earlier
+    /// conductor may have been lost before it wrote that down.
+    fn remind_of_stop(&mut self, service: &str, now: Time, out: &mut Vec<Output>) {
+        let Some(moving) = self.moves.get(service) else {
+            return;
+        };
+        if moving.record.is_running() && moving.guard.is_stopped() {
+            self.send_to_conductor(Message::MoveStop(service.to_owned()), now, out);
+        }
+    }
+
+    /// Looks at a move that this node conducts, and writes its state if it has changed.
+    fn conduct_move(&mut self, service: &str, now: Time, out: &mut Vec<Output>) {
+        let wall = self.settings.wall;
+        let is_conductor = self.conductor(now) == Some(self.settings.me.node);
+        let Some(moving) = self.moves.get_mut(service) else {
+            return;
+        };
+        if !is_conductor || !moving.record.is_running() {
+            moving.conduct = None;
+            return;
+        }
+        let Some(conduct) = &mut moving.conduct else {
+            return;
+        };
+        conduct.look(now);
+        let state = conduct.state().clone();
+        let next = moving.record.with_state(&state, wall);
+        if next == moving.record {
+            return;
+        }
+        let reversed = matches!(state, State::Reversed(_));
+        if moving.writing.is_some_and(|at| now < at + WRITE_LIMIT) {
+            return;
+        }
+        moving.writing = Some(now);
+        let revision = moving.revision;
+        let Ok(value) = serde_json::to_vec(&next) else {
+            return;
+        };
+        self.counts.store_calls += 1;
+        let key = move_key(service);
+        out.push(Output::Write {
+            key,
+            expects: Some(revision),
+            value: Bytes::from(value),
+        });
+        if reversed {
+            self.tell_stop(service, out);
+        }
+    }
+
+    /// Takes every node's share of a move away, without waiting for the store.
+    fn tell_stop(&mut self, service: &str, out: &mut Vec<Output>) {
+        if let Some(moving) = self.moves.get_mut(service) {
+            moving.guard.stop();
+        }
+        for addr in self.peers_up() {
+            self.counts.control_messages += 1;
+            out.push(Output::ToPeer(addr, Message::MoveStop(service.to_owned())));
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/moves.rs
@@ -0,0 +1,263 @@
+//! Version moves through whole nodes: finished on schedule or taken back, and bad versions get little.
+
+use std::time::Duration;
+
+use fakenet::{Net, Options, first_map};
+use monsoondeal_config::NextVersion;
+use monsoondeal_core::{IndexVersion, LeafId};
+use monsoondeal_engine::io::Response;
+use monsoondeal_moves::Progress;
+use rand::RngExt;
+use rstest::rstest;
+
+/// Time from the start of a move to its set time.
+const SPAN: Duration = Duration::from_secs(600);
+/// Leafs of the new version.
+const NEW_LEAFS: std::ops::Range<u64> = 101..109;
+
+/// Starts a cell whose service has a new version beside the old one.
+fn start(seed: u64) -> Net {
+    let mut net = Net::start(Options {
+        seed,
+        groups: 4,
+        codec: false,
+        ..Options::default()
+    });
+    let mut map = first_map(4, 1);
+    let new = first_map(4, NEW_LEAFS.start);
+    let mut snapshot = map.snapshot;
+    snapshot.index = IndexVersion(2);
+    map.next = Some(NextVersion {
+        snapshot,
+        groups: new.groups,
+    });
+    net.publish_map(&map);
+    net.run_for(Duration::from_secs(10));
+    net
+}
+
+/// Sends 20 requests a second for a while.
+fn load(net: &mut Net, span: Duration) {
+    let end = net.now + span;
+    while net.now < end {
+        let node = net.any_ready();
+        net.request(node, "lookup", None);
+        net.run_for(Duration::from_millis(50));
+    }
+}
+
+/// Loads until the record is no longer running, and returns how it ended.
+fn load_until_end(net: &mut Net) -> Progress {
+    for _ in 0..SPAN.as_secs() + 5 {
+        load(net, Duration::from_secs(1));
+        let progress = net.move_progress();
+        if !matches!(progress, Progress::Running { .. }) {
+            return progress;
+        }
+    }
+    net.move_progress()
+}
+
+fn set_bad(net: &mut Net, fail_share: f64) {
+    for leaf in NEW_LEAFS {
+        net.leafs.set_fail_share(LeafId(leaf), fail_share);
+    }
+}
+
+/// Returns the calls that the new version's leafs have run.
+fn new_calls(net: &Net) -> u64 {
+    NEW_LEAFS.map(|leaf| net.leafs.calls(LeafId(leaf))).sum()
+}
+
+/// Returns the share of the latest requests that were answered by the new version.
+fn new_share(net: &Net, latest: usize) -> f64 {
+    let answers = net
+        .ended
+        .iter()
+        .rev()
+        .take(latest)
+        .filter_map(|e| match &e.response {
+            Response::Answered(answer) => Some(answer.snapshot.index),
+            _ => None,
+        });
+    let (mut new, mut all) = (0.0, 0.0);
+    for index in answers {
+        all += 1.0;
+        new += f64::from(u8::from(index == IndexVersion(2)));
+    }
+    new / all
+}
+
+#[test]
+fn move_good_version_is_done_in_time() {
+    let mut net = start(1);
+    // At 20 requests a second, 1 % needs longer than a short move for a verdict.
+    net.begin_move(SPAN * 40);
+    let begun = net.now;
+    let mut progress = net.move_progress();
+    while matches!(progress, Progress::Running { .. }) && net.now < begun + SPAN * 40 {
+        load(&mut net, Duration::from_secs(20));
+        progress = net.move_progress();
+    }
+    assert_eq!(progress, Progress::Done);
+    let took = net.now.since(begun);
+    assert!(took <= SPAN * 40, "done after {took:?}");
+    load(&mut net, Duration::from_secs(5));
+    assert_eq!(new_share(&net, 50), 1.0);
+}
+
+#[test]
+fn move_without_evidence_is_taken_back_by_the_set_time() {
+    let mut net = start(2);
+    net.begin_move(Duration::from_secs(60));
+    net.run_for(Duration::from_secs(60));
+    assert!(
+        matches!(net.move_progress(), Progress::Reversed { .. }),
+        "{:?}",
+        net.move_progress()
+    );
+}
+
+fn no_fault(_: &mut Net) {}
+
+fn kill_conductor(net: &mut Net) {
+    let conductor = net.conductor();
+    net.kill(conductor, true);
+}
+
+fn freeze_conductor(net: &mut Net) {
+    let conductor = net.conductor();
+    net.freeze(conductor);
+    net.run_for(Duration::from_secs(5));
+    net.thaw(conductor);
+}
+
+fn lose_reply(net: &mut Net) {
+    net.lose_replies = 2;
+}
+
+fn stop_store(net: &mut Net) {
+    net.set_store_down(true);
+}
+
+/// A version that fails 20 % of its calls from the start is taken back soon, whatever fails with it,
+/// and stays so.
+#[rstest]
+#[case::no_fault(no_fault)]
+#[case::conductor_killed(kill_conductor)]
+#[case::conductor_frozen(freeze_conductor)]
+#[case::reply_lost(lose_reply)]
+#[case::store_down(stop_store)]
+fn move_bad_version_gets_little(#[case] fault: fn(&mut Net)) {
+    for seed in 0..3 {
+        let mut net = start(seed);
+        set_bad(&mut net, 0.2);
+        net.begin_move(SPAN);
+        load(&mut net, Duration::from_secs(2));
+        fault(&mut net);
+        load(&mut net, Duration::from_secs(200));
+        // 4 calls a request, each tried again once.
+        let calls = new_calls(&net);
+        assert!(
+            calls <= 50 * 8,
+            "{calls} calls of the new version, seed {seed}"
+        );
+        net.set_store_down(false);
+        let progress = load_until_end(&mut net);
+        assert!(
+            matches!(progress, Progress::Reversed { .. }),
+            "{progress:?}, seed {seed}"
+        );
+        load(&mut net, Duration::from_secs(10));
+        let later = new_calls(&net);
+        load(&mut net, Duration::from_secs(60));
+        assert_eq!(
+            new_calls(&net),
+            later,
+            "the reversal is sticky, seed {seed}"
+        );
+    }
+}
+
+/// A fault that begins when most of the traffic has moved is seen as well.
+#[test]
+fn move_late_fault_is_taken_back() {
+    let mut net = start(4);
+    net.begin_move(SPAN * 40);
+    let begun = net.now;
+    while new_share(&net, 200) < 0.4 {
+        load(&mut net, Duration::from_secs(20));
+        assert!(net.now < begun + SPAN * 40, "{:?}", net.move_progress());
+    }
+    set_bad(&mut net, 0.2);
+    let before = new_calls(&net);
+    load(&mut net, Duration::from_secs(60));
+    let calls = new_calls(&net) - before;
+    assert!(
+        calls <= 50 * 8,
+        "{calls} calls of the new version after the fault began"
+    );
+    let progress = net.move_progress();
+    assert!(
+        matches!(progress, Progress::Reversed { .. }),
+        "{progress:?}"
+    );
+}
+
+/// A node that reaches neither the conductor nor the store gives the new version up when its permission
+/// ends, though it still serves.
+#[test]
+fn move_cut_off_node_falls_back() {
+    let mut net = start(5);
+    net.begin_move(SPAN);
+    load(&mut net, Duration::from_secs(30));
+    let watchers = net.watchers();
+    let cut = (0..6)
+        .find(|node| !watchers.contains(node))
+        .expect("another node");
+    net.store_cut.insert(cut);
+    watchers.iter().for_each(|watcher| net.cut(*watcher, cut));
+    net.run_for(Duration::from_secs(4));
+    let before = net.ended.len();
+    for _ in 0..400 {
+        net.request(cut, "lookup", None);
+        net.run_for(Duration::from_millis(20));
+    }
+    let new = net.ended[before..].iter().filter(|e| match &e.response {
+        Response::Answered(answer) => e.node == cut && answer.snapshot.index == IndexVersion(2),
+        _ => false,
+    });
+    assert_eq!(new.count(), 0);
+    let served = net.ended[before..].iter().filter(|e| e.node == cut);
+    let answered = served
+        .filter(|e| matches!(e.response, Response::Answered(_)))
+        .count();
+    assert!(answered > 0, "the old version still answers there");
+}
+
+/// An answer never mixes versions while a move is under way.
+#[test]
+fn move_answers_from_one_version() {
+    let mut net = start(6);
+    net.begin_move(SPAN * 40);
+    for _ in 0..200 {
+        load(&mut net, Duration::from_secs(5));
+        if net.rng.random_bool(0.02) {
+            let node = net.any_living();
+            net.freeze(node);
+            net.run_for(Duration::from_millis(700));
+            net.thaw(node);
+        }
+    }
+    for ended in &net.ended {
+        let Response::Answered(answer) = &ended.response else {
+            continue;
+        };
+        for (_, part) in &answer.parts {
+            let part: (u32, u64, u64, serde_json::Value) =
+                serde_json::from_slice(part).expect("parts are JSON");
+            assert_eq!(part.1, answer.snapshot.index.0);
+        }
+    }
+    assert!(new_calls(&net) > 0);
+}
--- a/crates/moves/src/conduct.rs
+++ b/crates/moves/src/conduct.rs
@@ -1,6 +1,7 @@
 //! The conduct of a move, by one node of the cell.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use monsoondeal_core::{NodeId, Time};
 
@@ -29,6 +30,31 @@
     },
 }
 
+impl fmt::Display for Reversal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Fault {
+                route,
+                fault: Fault::Failing,
+            } => {
+                write!(
+                    f,
+                    "route '{route}' fails more often than on the old version"
+                )
+            }
+            Self::Fault {
+                route,
+                fault: Fault::Slow,
+            } => {
+                write!(f, "route '{route}' is slower than on the old version")
+            }
+            Self::TooLate => f.write_str("it could not be done by the set time"),
+            Self::Operator => f.write_str("an operator took it back"),
+            Self::Guard { node } => write!(f, "node {node} saw a fault by itself"),
+        }
+    }
+}
+
 /// `State` is how far a move has come. [`State::Done`] and [`State::Reversed`] are final.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum State {
--- a/crates/moves/src/guard.rs
+++ b/crates/moves/src/guard.rs
@@ -33,7 +33,7 @@
     grant: Grant,
     /// When the grant was asked for.
     asked: Option<Time>,
-    /// Set once the node's own evidence shows a fault; never cleared.
+    /// Set once the node's own evidence shows a fault, or the conductor says so; never cleared.
     stopped: bool,
     evidence: Evidence,
     /// Requests since the last report that should not wait for the next.
@@ -96,7 +96,13 @@
         self.stopped
     }
 
-    /// Returns whether the node has stopped the new version by itself.
+    /// Stops the new version on the conductor's word. Like the node's own stop, it is never taken back,
+    /// so that the next conductor cannot raise the share again.
+    pub fn stop(&mut self) {
+        self.stopped = true;
+    }
+
+    /// Returns whether the new version is stopped at this node.
     pub fn is_stopped(&self) -> bool {
         self.stopped
     }
--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -13,10 +13,12 @@
 pub mod evidence;
 pub mod guard;
 pub mod plan;
+pub mod record;
 pub mod verdict;
 
 pub use conduct::{Conduct, Reversal, State};
 pub use evidence::{Evidence, Outcome, RouteEvidence, Tally};
 pub use guard::{Grant, Guard};
 pub use plan::{Plan, Step};
+pub use record::{MoveRecord, Progress, WallClock};
 pub use verdict::{Detector, Fault, Verdict, VerdictSettings};
--- /dev/null
+++ b/crates/moves/src/record.rs
@@ -0,0 +1,117 @@
+//! The record of a move in the store.
+
+use std::time::Duration;
+
+use monsoondeal_core::{Snapshot, Time};
+use serde::{Deserialize, Serialize};
+
+use crate::conduct::{Reversal, State};
+use crate::plan::Plan;
+
+/// `Progress` is how far a recorded move has come. Times are milliseconds of Unix time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+pub enum Progress {
+    /// The share is that of a step.
+    Running {
+        /// Position of the step.
+        step: usize,
+        /// When it began.
+        since: u64,
+    },
+    /// Everything goes to the new version.
+    Done,
+    /// Everything goes to the old version, for good.
+    Reversed {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// `MoveRecord` is a move of one service, an object of its own in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MoveRecord {
+    /// The service.
+    pub service: String,
+    /// Snapshot of the new version.
+    pub to: Snapshot,
+    /// When the move began, in milliseconds of Unix time.
+    pub start: u64,
+    /// When it must be done or taken back, in milliseconds of Unix time.
+    pub by: u64,
+    /// How far it has come.
+    pub progress: Progress,
+}
+
+/// `WallClock` turns Unix time into times of a process and back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WallClock {
+    /// Unix time at the start of the process's clock, in milliseconds.
+    pub at_zero: i64,
+}
+
+impl WallClock {
+    /// Returns the time on the process's clock; zero for anything before its start.
+    pub fn time(self, unix_millis: u64) -> Time {
+        let millis = i64::try_from(unix_millis)
+            .unwrap_or(i64::MAX)
+            .saturating_sub(self.at_zero);
+        Time::from_millis(u64::try_from(millis).unwrap_or(0))
+    }
+
+    /// Returns the Unix time in milliseconds.
+    pub fn unix_millis(self, time: Time) -> u64 {
+        let millis = i64::try_from(time.as_micros() / 1_000).unwrap_or(i64::MAX);
+        u64::try_from(self.at_zero.saturating_add(millis)).unwrap_or(0)
+    }
+}
+
+impl MoveRecord {
+    /// Returns whether the move is neither done nor taken back.
+    pub fn is_running(&self) -> bool {
+        matches!(self.progress, Progress::Running { .. })
+    }
+
+    /// Returns the plan on a process's clock.
+    pub fn plan(&self, wall: WallClock) -> Plan {
+        Plan {
+            start: wall.time(self.start),
+            by: wall.time(self.by),
+        }
+    }
+
+    /// Returns the state from which a conductor goes on.
+    pub fn state(&self, wall: WallClock) -> State {
+        match &self.progress {
+            Progress::Running { step, since } => State::Running {
+                step: *step,
+                since: wall.time(*since),
+            },
+            Progress::Done => State::Done,
+            Progress::Reversed { .. } => State::Reversed(Reversal::Operator),
+        }
+    }
+
+    /// Returns the record with a conductor's state.
+    pub fn with_state(&self, state: &State, wall: WallClock) -> Self {
+        let progress = match state {
+            State::Running { step, since } => Progress::Running {
+                step: *step,
+                since: wall.unix_millis(*since),
+            },
+            State::Done => Progress::Done,
+            State::Reversed(reversal) => Progress::Reversed {
+                reason: reversal.to_string(),
+            },
+        };
+        Self {
+            progress,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the time from the start to the set time.
+    pub fn span(&self) -> Duration {
+        Duration::from_millis(self.by.saturating_sub(self.start))
+    }
+}
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use compio::net::TcpListener;
 use compio::runtime::{JoinHandle, spawn};
@@ -16,6 +16,7 @@
 use monsoondeal_engine::{Engine, EngineSettings, Input, Output};
 use monsoondeal_limit::OnceSettings;
 use monsoondeal_member::{CellSettings, Member};
+use monsoondeal_moves::WallClock;
 use monsoondeal_route::{QuerySettings, ReplicaSettings};
 use rand::RngExt;
 
@@ -121,6 +122,17 @@
         replicas: ReplicaSettings::default(),
         query: QuerySettings::default(),
         inflight: settings.inflight,
+        wall: wall_clock(),
+    }
+}
+
+/// Returns the Unix time at the start of the node's clock, which has just begun.
+fn wall_clock() -> WallClock {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    WallClock {
+        at_zero: i64::try_from(since.as_millis()).unwrap_or(0),
     }
 }
 
--- a/crates/route/src/delay.rs
+++ b/crates/route/src/delay.rs
@@ -1,4 +1,4 @@
-//! The delay after which a call is hedged.
+//! Quantiles of the latest response times, and the delay after which a call is hedged.
 
 use std::time::Duration;
 
@@ -13,43 +13,35 @@
 /// Part of the budget that late calls should use up. The rest is for bursts.
 const BUDGET_USE: f64 = 0.85;
 
-/// `HedgeDelay` is the response time that a given share of the latest calls exceeded.
-///
-/// A hedged call counts with the time until its group was answered. That is less than it would have
-/// taken, but more than the delay, so that the share above the delay stays true.
+/// `ResponseQuantile` is the response time that a given share of the latest ones exceeded.
 #[derive(Clone, Debug)]
-pub struct HedgeDelay {
-    /// Share of calls that may be late.
-    late_share: f64,
-    delay: Duration,
+pub struct ResponseQuantile {
+    /// Share of response times above the quantile.
+    share: f64,
+    value: Option<Duration>,
     /// The latest response times, in seconds, as a ring.
     window: Vec<f32>,
     /// Response times noted so far.
     noted: usize,
 }
 
-impl HedgeDelay {
-    /// Creates a tracker for a budget of `ratio` hedged calls per first call.
-    pub fn new(ratio: f64) -> Self {
+impl ResponseQuantile {
+    /// Creates a quantile that `share` of the response times exceed.
+    pub fn above(share: f64) -> Self {
         Self {
-            late_share: ratio * BUDGET_USE,
-            delay: FIRST_DELAY,
+            share,
+            value: None,
             window: Vec::with_capacity(WINDOW),
             noted: 0,
         }
     }
 
-    /// Replaces the budget.
-    pub fn set_ratio(&mut self, ratio: f64) {
-        self.late_share = ratio * BUDGET_USE;
+    /// Returns the quantile once enough is known.
+    pub fn value(&self) -> Option<Duration> {
+        self.value
     }
 
-    /// Returns the present delay.
-    pub fn delay(&self) -> Duration {
-        self.delay
-    }
-
-    /// Notes the time from the first call for a group to its answer.
+    /// Notes a response time.
     pub fn note(&mut self, response: Duration) {
         let seconds = response.as_secs_f32();
         if self.window.len() < WINDOW {
@@ -66,8 +58,41 @@
     fn renew(&mut self) {
         let mut times = self.window.clone();
         let last = times.len() - 1;
-        let rank = ((1.0 - self.late_share) * last as f64).round() as usize;
-        let (_, delay, _) = times.select_nth_unstable_by(rank.min(last), f32::total_cmp);
-        self.delay = Duration::from_secs_f32(*delay);
+        let rank = ((1.0 - self.share) * last as f64).round() as usize;
+        let (_, value, _) = times.select_nth_unstable_by(rank.min(last), f32::total_cmp);
+        self.value = Some(Duration::from_secs_f32(*value));
+    }
+}
+
+/// `HedgeDelay` is the delay that uses up a budget of hedged calls.
+///
+/// A hedged call counts with the time until its group was answered. That is less than it would have
+/// taken, but more than the delay, so that the share above the delay stays true.
+#[derive(Clone, Debug)]
+pub struct HedgeDelay {
+    quantile: ResponseQuantile,
+}
+
+impl HedgeDelay {
+    /// Creates a tracker for a budget of `ratio` hedged calls per first call.
+    pub fn new(ratio: f64) -> Self {
+        Self {
+            quantile: ResponseQuantile::above(ratio * BUDGET_USE),
+        }
+    }
+
+    /// Replaces the budget.
+    pub fn set_ratio(&mut self, ratio: f64) {
+        self.quantile.share = ratio * BUDGET_USE;
+    }
+
+    /// Returns the present delay.
+    pub fn delay(&self) -> Duration {
+        self.quantile.value().unwrap_or(FIRST_DELAY)
+    }
+
+    /// Notes the time from the first call for a group to its answer.
+    pub fn note(&mut self, response: Duration) {
+        self.quantile.note(response);
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod query;
 pub mod replica;
 
-pub use delay::HedgeDelay;
+pub use delay::{HedgeDelay, ResponseQuantile};
 pub use place::{Placement, load_bound, place, seat, slot_of};
 pub use query::{Action, Answer, Env, Loss, Plan, PlanGroup, Query, QuerySettings, Reply};
 pub use replica::{ReplicaSettings, Replicas};
--- a/crates/route/src/query.rs
+++ b/crates/route/src/query.rs
@@ -128,6 +128,8 @@
     pub calls: u32,
     /// Hedged calls among them.
     pub hedges: u32,
+    /// Calls that ended with an error of the leaf.
+    pub errors: u32,
 }
 
 /// `Loss` is the reason for which a group has no part.
@@ -229,6 +231,7 @@
     slowest: Option<(u32, Duration)>,
     calls: u32,
     hedges: u32,
+    errors: u32,
     /// No hedge is sent before then, since the budget was spent.
     hedge_after: Time,
 }
@@ -254,6 +257,7 @@
             slowest: None,
             calls: 0,
             hedges: 0,
+            errors: 0,
             hedge_after: now,
         };
         env.hedges.earn(count);
@@ -321,6 +325,8 @@
                 }
             }
             Reply::Unknown(doubt) => {
+                let leaf_error = matches!(doubt, Doubt::LeafError | Doubt::ConnectionLost);
+                self.errors += u32::from(leaf_error);
                 env.replicas.failed(leaf, now);
                 self.on_doubt(at, running.replica, doubt, now, env, actions);
             }
@@ -382,6 +388,7 @@
             elapsed: now.since(self.started),
             calls: self.calls,
             hedges: self.hedges,
+            errors: self.errors,
         }
     }
 
--- a/programs/fakenet/src/leafs.rs
+++ b/programs/fakenet/src/leafs.rs
@@ -44,6 +44,8 @@
     domain: String,
     /// Factor on the service time; zero stands for one.
     factor: f64,
+    /// Share of calls that end with an error.
+    fail_share: f64,
     /// Service time of its own, if any.
     slow: Option<Duration>,
 }
@@ -115,6 +117,13 @@
         }
     }
 
+    /// Makes a share of a leaf's calls end with an error.
+    pub fn set_fail_share(&mut self, leaf: LeafId, share: f64) {
+        if let Some(leaf) = self.leafs.get_mut(&leaf) {
+            leaf.fail_share = share;
+        }
+    }
+
     /// Makes a leaf slower or faster by a factor.
     pub fn set_factor(&mut self, leaf: LeafId, factor: f64) {
         if let Some(leaf) = self.leafs.get_mut(&leaf) {
@@ -190,7 +199,9 @@
         if leaf.mode == LeafMode::WrongStamp {
             stamp.index = IndexVersion(stamp.index.0 + 7);
         }
+        let fails = leaf.fail_share > 0.0 && self.rng.random_bool(leaf.fail_share);
         let end = match leaf.mode {
+            _ if fails => LeafEnd::Failed,
             LeafMode::Fails => LeafEnd::Failed,
             LeafMode::Cuts => LeafEnd::Broken,
             _ => LeafEnd::Data {
--- a/programs/fakenet/src/lib.rs
+++ b/programs/fakenet/src/lib.rs
@@ -19,6 +19,7 @@
 use monsoondeal_engine::{Engine, EngineSettings, Input, Message, Output, VMS_KEY, VmList};
 use monsoondeal_limit::OnceSettings;
 use monsoondeal_member::{CellSettings, Member};
+use monsoondeal_moves::WallClock;
 use monsoondeal_route::{QuerySettings, ReplicaSettings};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -29,6 +30,8 @@
 
 /// Name of the service in all tests.
 pub const SERVICE: &str = "catalogue";
+/// Unix time at the start of the network's clock, in milliseconds.
+pub const WALL_START: i64 = 1_800_000_000_000;
 /// Failure domains.
 pub const DOMAINS: [&str; 4] = ["p1", "p2", "p3", "p4"];
 
@@ -311,6 +314,7 @@
         {
             spans.hold = hold;
         }
+        let skew = Duration::from_secs(self.rng.random_range(0..100_000));
         let engine = Engine::new(EngineSettings {
             cell: "main".to_owned(),
             me: member.clone(),
@@ -320,12 +324,15 @@
             replicas: self.options.replicas,
             query: self.options.query,
             inflight: self.options.inflight,
+            wall: WallClock {
+                at_zero: WALL_START - skew.as_millis() as i64,
+            },
             seed: self.options.seed ^ at as u64,
         });
         self.nodes.push(Node {
             engine,
             member,
-            skew: Duration::from_secs(self.rng.random_range(0..100_000)),
+            skew,
             alive: true,
             frozen: false,
             held: Vec::new(),
@@ -412,6 +419,15 @@
         ready[self.rng.random_range(0..ready.len())]
     }
 
+    /// Returns the node that conducts version moves: the living watcher of lowest identity.
+    pub fn conductor(&self) -> usize {
+        let watchers = self.watchers();
+        let lowest = watchers
+            .into_iter()
+            .min_by_key(|n| self.nodes[*n].member.node);
+        lowest.expect("some node watches the store")
+    }
+
     /// Returns a living node at random.
     pub fn any_living(&mut self) -> usize {
         let living = self.living();
--- a/programs/fakenet/src/links.rs
+++ b/programs/fakenet/src/links.rs
@@ -69,6 +69,12 @@
             last: [self.now; 2],
         };
         self.links.insert(self.next_link, link);
+        // The daemon's tasks introduce the node before anything else is sent.
+        let hello = Message::Hello {
+            node: self.nodes[dialer].member.node,
+            cell: "main".to_owned(),
+        };
+        self.send(self.next_link, true, hello);
         self.input(dialer, Input::PeerUp(addr));
     }
 
--- a/programs/fakenet/src/store.rs
+++ b/programs/fakenet/src/store.rs
@@ -7,10 +7,11 @@
 use monsoondeal_config::{Change, ChangeId, Edit, LeafSpec, Level, ServiceMap, Tree};
 use monsoondeal_core::{IndexVersion, LeafId, MapVersion, Snapshot};
 use monsoondeal_engine::io::Object;
-use monsoondeal_engine::{Input, TREE_KEY, map_key};
+use monsoondeal_engine::{Input, TREE_KEY, map_key, move_key};
+use monsoondeal_moves::{MoveRecord, Progress, WallClock};
 use rand::RngExt;
 
-use crate::{DOMAINS, Event, Net, SERVICE};
+use crate::{DOMAINS, Event, Net, SERVICE, WALL_START};
 
 impl Net {
     /// Applies an edit to the tree in the store, in the name of nobody.
@@ -36,13 +37,47 @@
 
     /// Writes a partition map.
     pub fn publish_map(&mut self, map: &ServiceMap) {
-        for (group, leaf) in map.leafs() {
-            self.leafs.add(leaf, group, map.snapshot);
+        let next = map.next.iter().map(|next| (&next.groups, next.snapshot));
+        for (groups, snapshot) in [(&map.groups, map.snapshot)].into_iter().chain(next) {
+            for (group, leafs) in groups.iter().enumerate() {
+                leafs
+                    .iter()
+                    .for_each(|leaf| self.leafs.add(leaf, group as u32, snapshot));
+            }
         }
         let value = serde_json::to_vec(map).expect("maps can be serialized");
         self.store_object(&map_key(SERVICE), Bytes::from(value));
     }
 
+    /// Begins a version move of the service to the next version of its map.
+    pub fn begin_move(&mut self, span: Duration) {
+        let (_, value) = &self.objects[&map_key(SERVICE)];
+        let map: ServiceMap = serde_json::from_slice(value).expect("the store holds a map");
+        let now = WallClock {
+            at_zero: WALL_START,
+        }
+        .unix_millis(self.now);
+        let record = MoveRecord {
+            service: SERVICE.to_owned(),
+            to: map.next.expect("the map has a next version").snapshot,
+            start: now,
+            by: now + span.as_millis() as u64,
+            progress: Progress::Running {
+                step: 0,
+                since: now,
+            },
+        };
+        let value = serde_json::to_vec(&record).expect("records can be serialized");
+        self.store_object(&move_key(SERVICE), Bytes::from(value));
+    }
+
+    /// Returns how far the version move of the service has come, by the store.
+    pub fn move_progress(&self) -> Progress {
+        let (_, value) = &self.objects[&move_key(SERVICE)];
+        let record: MoveRecord = serde_json::from_slice(value).expect("the store holds a record");
+        record.progress
+    }
+
     pub(crate) fn write_tree(&mut self, tree: &Tree) {
         let value = serde_json::to_vec(tree).expect("trees can be serialized");
         self.store_object(TREE_KEY, Bytes::from(value));
@@ -165,5 +200,6 @@
             map: MapVersion(1),
         },
         groups: (0..groups).map(|g| vec![leaf(g, 0), leaf(g, 1)]).collect(),
+        next: None,
     }
 }
--- a/programs/standin/src/system.rs
+++ b/programs/standin/src/system.rs
@@ -320,6 +320,7 @@
                 map: MapVersion(1),
             },
             groups: (0..shape.groups).map(group).collect(),
+            next: None,
         }
     }
 
