--- a/crates/engine/src/dump.rs
+++ b/crates/engine/src/dump.rs
@@ -4,6 +4,7 @@
 
 use monsoondeal_core::Time;
 use monsoondeal_member::Roster;
+use monsoondeal_moves::Progress;
 
 use crate::counts::Counts;
 use crate::engine::Engine;
@@ -22,6 +23,7 @@
     roster: &'a Roster,
     peers: Vec<PeerDump>,
     leafs: Vec<LeafDump>,
+    moves: Vec<MoveDump>,
     queries: usize,
     orders: usize,
     keys: usize,
@@ -70,6 +72,17 @@
     waiting: usize,
 }
 
+/// A version move as a node sees it.
+#[derive(Debug, Serialize)]
+pub(crate) struct MoveDump {
+    pub(crate) service: String,
+    pub(crate) progress: Progress,
+    /// Whether the new version is stopped at this node.
+    pub(crate) stopped: bool,
+    /// Whether this node conducts the move.
+    pub(crate) conducts: bool,
+}
+
 impl Engine {
     /// Returns the state as JSON.
     pub fn dump(&self, now: Time) -> serde_json::Value {
@@ -93,6 +106,7 @@
             roster: self.cell.roster(),
             peers,
             leafs: self.leaf_dumps(now),
+            moves: self.move_dumps(),
             queries: self.entry.query_count(),
             orders: self.entry.order_count(),
             keys: self.home.key_count(),
--- a/crates/engine/src/shift.rs
+++ b/crates/engine/src/shift.rs
@@ -14,6 +14,7 @@
 use monsoondeal_route::{Answer, ResponseQuantile};
 
 use crate::control::move_key;
+use crate::dump::MoveDump;
 use crate::engine::{Engine, Origin};
 use crate::io::Output;
 use crate::message::{Message, MoveReport, StoredMove};
@@ -223,6 +224,16 @@
         self.conduct_move(service, now, out);
     }
 
+    pub(crate) fn move_dumps(&self) -> Vec<MoveDump> {
+        let dump = |(service, moving): (&String, &Moving)| MoveDump {
+            service: service.clone(),
+            progress: moving.record.progress.clone(),
+            stopped: moving.guard.is_stopped(),
+            conducts: moving.conduct.is_some(),
+        };
+        self.moves.iter().map(dump).collect()
+    }
+
     /// Returns the node that conducts the moves of the cell.
     fn conductor(&self, now: Time) -> Option<NodeId> {
         self.cell.reaching_store(now).first().copied()
