--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -144,28 +144,35 @@
     /// Checks that the actor may make the change: the holder of the say may make any, another owner
     /// those at levels of its own.
     fn check_right(&self, change: &Change, findings: &mut Findings) {
-        let Some(say) = &self.say else { return };
-        let actor = change.actor.as_deref();
-        if actor == Some(say.owner.as_str()) {
-            return;
-        }
-        let own = match &change.edit {
-            Edit::Set { level, .. } | Edit::Unset { level, .. } => {
-                level.owner().is_some() && level.owner() == actor
-            }
-            Edit::CreateService { owner, .. } => Some(owner.as_str()) == actor,
-            _ => false,
+        let owner = match &change.edit {
+            Edit::Set { level, .. } | Edit::Unset { level, .. } => level.owner(),
+            Edit::CreateService { owner, .. } => Some(owner.as_str()),
+            _ => None,
         };
-        if !own {
-            let text = format!(
-                "'{}' may not do this: '{}' has the final say (month {}, term {})",
-                actor.unwrap_or("nobody"),
-                say.owner,
-                say.month,
-                say.term
-            );
-            findings.0.extend(Findings::single("actor", text).0);
+        if let Err(fault) = self.check_actor(change.actor.as_deref(), owner) {
+            findings.0.extend(fault.0);
+        }
+    }
+
+    /// Checks that the actor may act on what belongs to `owner`, or to nobody.
+    ///
+    /// # Errors
+    ///
+    /// If somebody else has the say.
+    pub fn check_actor(&self, actor: Option<&str>, owner: Option<&str>) -> Result<(), Findings> {
+        let Some(say) = &self.say else { return Ok(()) };
+        let is_holder = actor == Some(say.owner.as_str());
+        if is_holder || (owner.is_some() && owner == actor) {
+            return Ok(());
         }
+        let text = format!(
+            "'{}' may not do this: '{}' has the final say (month {}, term {})",
+            actor.unwrap_or("nobody"),
+            say.owner,
+            say.month,
+            say.term
+        );
+        Err(Findings::single("actor", text))
     }
 
     fn edit(&mut self, edit: &Edit) -> Result<(), Findings> {
--- a/programs/monsoondeal/src/args.rs
+++ b/programs/monsoondeal/src/args.rs
@@ -138,6 +138,24 @@
         /// Identity of the node, as in its state dump
         node: u64,
     },
+    /// Moves the traffic of a service to the next version of its partition map
+    Move {
+        /// The service
+        service: String,
+        /// Seconds until the move must be done or taken back
+        #[arg(long, value_name = "SECONDS", value_parser = clap::value_parser!(u64).range(1..=2_592_000))]
+        by: u64,
+    },
+    /// Takes a version move back
+    MoveBack {
+        /// The service
+        service: String,
+    },
+    /// Tells how far a version move has come; with --wait, waits for its end
+    MoveStatus {
+        /// The service
+        service: String,
+    },
     /// Tells whether a version of the tree is in force everywhere
     InForce {
         /// Version; the latest one by default
--- a/programs/monsoondeal/src/ctl.rs
+++ b/programs/monsoondeal/src/ctl.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 
 use crate::args::{Act, Ctl};
+use crate::moves;
 use crate::report::{self, Force, Report};
 use crate::submit::{SubmitError, read_tree, submit};
 
@@ -50,6 +51,9 @@
             print_json(&tree);
             Ok(ExitCode::SUCCESS)
         }
+        Act::Move { service, by } => moves::begin(ctl, &store, service, *by).await,
+        Act::MoveBack { service } => moves::take_back(ctl, &store, service).await,
+        Act::MoveStatus { service } => moves::status(ctl, &store, service).await,
         Act::InForce { version } => in_force(ctl, &store, *version).await,
         Act::Dump { addr } => match report::node_state(*addr).await {
             Some(state) => {
@@ -116,9 +120,13 @@
             Self::NodeGone { node } => Edit::NodeGone {
                 node: NodeId(*node),
             },
-            Self::Show { .. } | Self::Tree | Self::InForce { .. } | Self::Dump { .. } => {
-                return None;
-            }
+            Self::Show { .. }
+            | Self::Tree
+            | Self::Move { .. }
+            | Self::MoveBack { .. }
+            | Self::MoveStatus { .. }
+            | Self::InForce { .. }
+            | Self::Dump { .. } => return None,
         };
         Some(edit)
     }
@@ -239,7 +247,7 @@
     }
 }
 
-fn print_json<T>(value: &T)
+pub(crate) fn print_json<T>(value: &T)
 where
     T: Serialize,
 {
--- a/programs/monsoondeal/src/main.rs
+++ b/programs/monsoondeal/src/main.rs
@@ -6,6 +6,7 @@
 mod args;
 mod check;
 mod ctl;
+mod moves;
 mod node;
 mod report;
 mod submit;
--- /dev/null
+++ b/programs/monsoondeal/src/moves.rs
@@ -0,0 +1,191 @@
+//! Commands on version moves.
+
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use compio::time::sleep;
+use monsoondeal_config::ServiceMap;
+use monsoondeal_core::Findings;
+use monsoondeal_engine::{map_key, move_key};
+use monsoondeal_moves::{MoveRecord, Progress};
+use monsoondeal_node::store::{Store, StoreError};
+use serde::de::DeserializeOwned;
+
+use crate::args::Ctl;
+use crate::ctl::print_json;
+use crate::submit::{SubmitError, read_tree};
+
+/// Tries before a change of a record is given up.
+const TRIES: u32 = 8;
+/// Wait between two tries, and between two looks at a move.
+const RETRY_WAIT: Duration = Duration::from_millis(200);
+
+/// Begins a move to the next version of a service's map.
+pub(crate) async fn begin(
+    ctl: &Ctl,
+    store: &Store,
+    service: &str,
+    seconds: u64,
+) -> Result<ExitCode, SubmitError> {
+    check_right(ctl, store, service).await?;
+    let Some((map, _)) = read::<ServiceMap>(store, &map_key(service)).await? else {
+        return Err(refused(
+            "service",
+            format!("no partition map of service '{service}'"),
+        ));
+    };
+    let Some(next) = map.next else {
+        return Err(refused(
+            "service",
+            format!("the map of '{service}' has no next version"),
+        ));
+    };
+    let (known, version) = read::<MoveRecord>(store, &move_key(service)).await?.unzip();
+    if known.is_some_and(|known| known.is_running()) {
+        return Err(refused(
+            "service",
+            format!("a move of '{service}' is under way already"),
+        ));
+    }
+    let start = unix_millis();
+    let record = MoveRecord {
+        service: service.to_owned(),
+        to: next.snapshot,
+        start,
+        by: start + seconds * 1_000,
+        progress: Progress::Running {
+            step: 0,
+            since: start,
+        },
+    };
+    match store
+        .write(&move_key(service), version, encode(&record)?)
+        .await
+    {
+        Ok(_) => Ok(print(ctl, &record)),
+        Err(StoreError::Conflict) => Err(refused(
+            "service",
+            format!("a move of '{service}' was changed meanwhile"),
+        )),
+        Err(error) => Err(SubmitError::Unknown(error)),
+    }
+}
+
+/// Takes a move back.
+pub(crate) async fn take_back(
+    ctl: &Ctl,
+    store: &Store,
+    service: &str,
+) -> Result<ExitCode, SubmitError> {
+    check_right(ctl, store, service).await?;
+    let mut last = StoreError::Conflict;
+    for _ in 0..TRIES {
+        let (record, version) = find(store, service).await?;
+        match record.progress {
+            Progress::Running { .. } => {}
+            Progress::Reversed { .. } => return Ok(print(ctl, &record)),
+            Progress::Done => {
+                return Err(refused(
+                    "service",
+                    format!("the move of '{service}' is done"),
+                ));
+            }
+        }
+        let reason = "an operator took it back".to_owned();
+        let next = MoveRecord {
+            progress: Progress::Reversed { reason },
+            ..record
+        };
+        match store
+            .write(&move_key(service), Some(version), encode(&next)?)
+            .await
+        {
+            Ok(_) => return Ok(print(ctl, &next)),
+            // The conductor has written a step, or a reply was lost: the next read tells.
+            Err(error) => last = error,
+        }
+        sleep(RETRY_WAIT).await;
+    }
+    Err(SubmitError::Unknown(last))
+}
+
+/// Tells how far a move has come; with `--wait`, waits for its end.
+pub(crate) async fn status(
+    ctl: &Ctl,
+    store: &Store,
+    service: &str,
+) -> Result<ExitCode, SubmitError> {
+    let end = SystemTime::now() + Duration::from_secs(ctl.wait.unwrap_or(0));
+    loop {
+        let (record, _) = find(store, service).await?;
+        if !record.is_running() || SystemTime::now() >= end {
+            return Ok(print(ctl, &record));
+        }
+        sleep(RETRY_WAIT).await;
+    }
+}
+
+/// Checks that the operator may move the traffic of a service.
+async fn check_right(ctl: &Ctl, store: &Store, service: &str) -> Result<(), SubmitError> {
+    let (tree, _) = read_tree(store).await?;
+    let Some(known) = tree.services.get(service) else {
+        return Err(refused("service", format!("no service '{service}'")));
+    };
+    tree.check_actor(ctl.actor.as_deref(), Some(&known.owner))
+        .map_err(SubmitError::Refused)
+}
+
+async fn find(store: &Store, service: &str) -> Result<(MoveRecord, u64), SubmitError> {
+    let found = read::<MoveRecord>(store, &move_key(service)).await?;
+    found.ok_or_else(|| refused("service", format!("no move of service '{service}'")))
+}
+
+async fn read<T>(store: &Store, key: &str) -> Result<Option<(T, u64)>, SubmitError>
+where
+    T: DeserializeOwned,
+{
+    let Some(object) = store.read(key).await.map_err(SubmitError::Unread)? else {
+        return Ok(None);
+    };
+    let value = serde_json::from_slice(&object.value)
+        .map_err(|error| refused(key, format!("cannot be read: {error}")))?;
+    Ok(Some((value, object.version)))
+}
+
+fn encode(record: &MoveRecord) -> Result<Bytes, SubmitError> {
+    let value = serde_json::to_vec(record);
+    value
+        .map(Bytes::from)
+        .map_err(|error| refused("record", error.to_string()))
+}
+
+fn refused(source: &str, message: String) -> SubmitError {
+    SubmitError::Refused(Findings::single(source, message))
+}
+
+fn print(ctl: &Ctl, record: &MoveRecord) -> ExitCode {
+    if ctl.json {
+        print_json(record);
+        return ExitCode::SUCCESS;
+    }
+    let left = record.by.saturating_sub(unix_millis()) / 1_000;
+    match &record.progress {
+        Progress::Running { step, .. } => {
+            println!(
+                "{}: running, step {step}, {left} s to the set time",
+                record.service
+            );
+        }
+        Progress::Done => println!("{}: done", record.service),
+        Progress::Reversed { reason } => println!("{}: taken back: {reason}", record.service),
+    }
+    ExitCode::SUCCESS
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/programs/standin/src/caller.rs
+++ b/programs/standin/src/caller.rs
@@ -62,6 +62,8 @@
     pub times: Histogram<u64>,
     /// Keys of requests with the end "not run".
     pub refused_keys: Vec<String>,
+    /// Answers by the version of the data that they come from.
+    pub indexes: std::collections::BTreeMap<u64, u64>,
     /// Reasons of requests without an answer.
     pub reasons: std::collections::BTreeMap<String, u64>,
 }
@@ -78,6 +80,7 @@
             cut: 0,
             times: Histogram::new(3).expect("3 digits are allowed"),
             refused_keys: Vec::new(),
+            indexes: Default::default(),
             reasons: Default::default(),
         }
     }
@@ -218,6 +221,8 @@
         match (status, value["outcome"].as_str()) {
             (StatusCode::OK, Some("answered")) => {
                 tally.answered += 1;
+                let index = value["snapshot"]["index"].as_u64().unwrap_or(0);
+                *tally.indexes.entry(index).or_default() += 1;
                 tally.wrong += u64::from(!is_own_answer(&value, &body));
                 tally.full +=
                     u64::from(value["coverage"]["answered"] == value["coverage"]["total"]);
--- a/programs/standin/src/system.rs
+++ b/programs/standin/src/system.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use cyper::Client;
-use monsoondeal_config::{LeafSpec, ServiceMap};
+use monsoondeal_config::{LeafSpec, NextVersion, ServiceMap};
 use monsoondeal_core::{IndexVersion, LeafId, MapVersion, Snapshot};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -19,6 +19,8 @@
 
 /// Longest wait for a process to come up.
 const START_LIMIT: Duration = Duration::from_secs(10);
+/// What identities of a next version's leafs lie above those of the present one.
+const NEXT_VERSION_IDS: u64 = 100_000;
 /// Identities of a service's leafs start at multiples of this.
 const LEAF_ID_STEP: u64 = 1_000;
 
@@ -50,6 +52,7 @@
     pub map: ServiceMap,
     addrs: LeafAddrs,
     _process: Process,
+    next: Option<Process>,
 }
 
 /// A node process.
@@ -110,12 +113,7 @@
     ///
     /// If any of that fails.
     pub async fn add_service(&mut self, shape: ServiceShape) -> io::Result<()> {
-        let count = (shape.groups * shape.replicas).to_string();
-        let mut args = vec!["leafs", "--count", &count];
-        args.extend(shape.leaf_args.iter().map(String::as_str));
-        let process = Process::start("standin", &args)?;
-        let line = process.wait_line("control", START_LIMIT)?;
-        let addrs: LeafAddrs = serde_json::from_str(&line)?;
+        let (process, addrs) = start_leafs(&shape)?;
         let map = self.first_map(&shape, &addrs);
         self.put(&format!("map/{}", shape.name), &map).await?;
 
@@ -136,10 +134,39 @@
             map,
             addrs,
             _process: process,
+            next: None,
         });
         Ok(())
     }
 
+    /// Starts leafs of a next version of a service, and publishes them beside the present ones.
+    ///
+    /// # Errors
+    ///
+    /// If they do not come up, or the map cannot be written.
+    pub async fn add_next_version(&mut self, service: usize) -> io::Result<()> {
+        let shape = self.services[service].shape.clone();
+        let (process, addrs) = start_leafs(&shape)?;
+        let control = LeafControl {
+            index: Some(2),
+            ..LeafControl::default()
+        };
+        self.post(&format!("http://{}/control", addrs.control), &control)
+            .await?;
+        let fresh = self.first_map(&shape, &addrs);
+        let mut snapshot = fresh.snapshot;
+        snapshot.index = IndexVersion(2);
+        let mut groups = fresh.groups;
+        for leaf in groups.iter_mut().flatten() {
+            leaf.leaf.0 += NEXT_VERSION_IDS;
+        }
+        let running = &mut self.services[service];
+        running.map.next = Some(NextVersion { snapshot, groups });
+        running.next = Some(process);
+        let map = running.map.clone();
+        self.publish_map(&map).await
+    }
+
     /// Starts a node and returns its position.
     ///
     /// # Errors
@@ -376,6 +403,17 @@
     }
 }
 
+/// Starts the leafs of a service and returns their addresses.
+fn start_leafs(shape: &ServiceShape) -> io::Result<(Process, LeafAddrs)> {
+    let count = (shape.groups * shape.replicas).to_string();
+    let mut args = vec!["leafs", "--count", &count];
+    args.extend(shape.leaf_args.iter().map(String::as_str));
+    let process = Process::start("standin", &args)?;
+    let line = process.wait_line("control", START_LIMIT)?;
+    let addrs = serde_json::from_str(&line)?;
+    Ok((process, addrs))
+}
+
 /// Finds a text field anywhere in a log line.
 fn find_text<'a>(value: &'a Value, name: &str) -> Option<&'a str> {
     match value {
--- a/programs/standin/tests/system.rs
+++ b/programs/standin/tests/system.rs
@@ -384,3 +384,52 @@
     assert_eq!(code, Some(0), "{text}");
     system.nodes.clear();
 }
+
+/// A move between two sets of leafs through real processes: it begins by command, shares the traffic,
+/// and is taken back by command.
+#[compio::test]
+async fn system_move_begins_and_is_taken_back() {
+    let (mut system, balancer) = start("move", 3).await.expect("the system starts");
+    let (code, text) = system
+        .ctl_code(&["move", "catalogue", "--by", "60"])
+        .expect("it runs");
+    assert_eq!(code, Some(2), "{text}");
+    assert!(text.contains("has no next version"), "{text}");
+
+    system
+        .add_next_version(0)
+        .await
+        .expect("the next version starts");
+    system.wait_ready().await.expect("its leafs get holders");
+    let text = system
+        .ctl(&["move", "catalogue", "--by", "600"])
+        .expect("the move begins");
+    assert!(text.contains("running, step 0"), "{text}");
+    let tally = balancer.load(load("lookup", 100.0, 5)).await;
+    assert_eq!(tally.answered, tally.sent, "{:?}", tally.reasons);
+    assert_eq!(tally.wrong, 0);
+    assert!(
+        tally.indexes.contains_key(&2),
+        "the new version was tried: {:?}",
+        tally.indexes
+    );
+    assert!(
+        tally.indexes[&1] > tally.indexes[&2] * 10,
+        "it got little: {:?}",
+        tally.indexes
+    );
+
+    system.ctl(&["move-back", "catalogue"]).expect("taken back");
+    let text = system.ctl(&["move-status", "catalogue"]).expect("a status");
+    assert!(
+        text.contains("taken back: an operator took it back"),
+        "{text}"
+    );
+    sleep(1_000).await;
+    let tally = balancer.load(load("lookup", 50.0, 2)).await;
+    assert!(
+        !tally.indexes.contains_key(&2),
+        "nothing more: {:?}",
+        tally.indexes
+    );
+}
