Let the fake list of VMs lag without going back

The platform's list lags, but it comes to show the truth; the fake now drops a list that is older than the one shown.

--- a/programs/fakenet/src/faults.rs
+++ b/programs/fakenet/src/faults.rs
@@ -26,7 +26,8 @@
             ..VmList::default()
         };
         let delay = self.delay(3_000_000..9_000_000);
-        self.push(delay, Event::ListVms(list));
+        self.lists_taken += 1;
+        self.push(delay, Event::ListVms(self.lists_taken, list));
     }
 
     /// Restarts all leafs: calls under way break, and the leafs are cold for their next calls.
--- a/programs/fakenet/src/lib.rs
+++ b/programs/fakenet/src/lib.rs
@@ -129,8 +129,8 @@
         expects: Option<u64>,
         value: Bytes,
     },
-    /// The platform's list changes.
-    ListVms(VmList),
+    /// The platform's list changes to what it was when it was taken, unless it shows a later one.
+    ListVms(u64, VmList),
     StoreRead {
         node: usize,
         key: String,
@@ -245,6 +245,9 @@
     pub ended: Vec<Ended>,
     next_token: u64,
     vms_hidden: bool,
+    /// Lists of VMs taken so far, and the latest one shown.
+    lists_taken: u64,
+    list_shown: u64,
     /// Encoded bytes of control messages, as sent.
     pub control_bytes: u64,
 }
@@ -286,6 +289,8 @@
             ended: Vec::new(),
             next_token: 0,
             vms_hidden: false,
+            lists_taken: 0,
+            list_shown: 0,
             control_bytes: 0,
         };
         net.write_tree(&first_tree(options.slots));
@@ -509,8 +514,9 @@
                 let object = self.object(&key);
                 self.input(node, Input::Object { key, object, asked });
             }
-            Event::ListVms(_) if self.vms_hidden => {}
-            Event::ListVms(list) => {
+            Event::ListVms(taken, _) if self.vms_hidden || taken < self.list_shown => {}
+            Event::ListVms(taken, list) => {
+                self.list_shown = taken;
                 let value = serde_json::to_vec(&list).expect("lists can be serialized");
                 self.store_object(VMS_KEY, Bytes::from(value));
             }
