--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -7,7 +7,7 @@
 use monsoondeal_config::Resolved;
 use monsoondeal_core::{CallId, Doubt, Findings, FixedMap, Priority, Refusal, Time};
 use monsoondeal_limit::{Admission, Budget};
-use monsoondeal_route::query::Loss;
+use monsoondeal_route::Loss;
 use monsoondeal_route::{
     Action, Answer, Env, HedgeDelay, Plan, Query, QuerySettings, Replicas, Reply,
 };
--- a/crates/engine/src/home.rs
+++ b/crates/engine/src/home.rs
@@ -12,7 +12,7 @@
 use monsoondeal_core::{CallId, Coverage, Doubt, Epoch, FixedMap, NodeId, Refusal, Time};
 use monsoondeal_limit::{Once, Seen};
 use monsoondeal_member::Lease;
-use monsoondeal_route::query::Loss;
+use monsoondeal_route::Loss;
 use monsoondeal_route::{Answer, Plan, QuerySettings, slot_of};
 
 use crate::engine::{Engine, Local, Origin};
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -14,7 +14,7 @@
 use monsoondeal_engine::BODY_LIMIT;
 use monsoondeal_engine::io::{Fault, Request, Response, Token};
 use monsoondeal_route::Answer;
-use monsoondeal_route::query::Loss;
+use monsoondeal_route::Loss;
 use serde::Serialize;
 use serde_json::value::RawValue;
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,10 +5,12 @@
 
 pub mod delay;
 pub mod place;
+pub mod plan;
 pub mod query;
 pub mod replica;
 
 pub use delay::{HedgeDelay, ResponseQuantile};
 pub use place::{Placement, load_bound, place, seat, slot_of};
-pub use query::{Action, Answer, Env, Loss, Plan, PlanGroup, Query, QuerySettings, Reply};
+pub use plan::{Action, Answer, Env, Loss, Plan, PlanGroup, QuerySettings, Reply};
+pub use query::Query;
 pub use replica::{ReplicaSettings, Replicas};
--- a/crates/route/src/query.rs
+++ b/crates/route/src/query.rs
@@ -6,12 +6,10 @@
 
 use std::time::Duration;
 
-use monsoondeal_core::{CallId, Coverage, Doubt, LeafId, Refusal, Snapshot, Time};
-use monsoondeal_limit::Budget;
+use monsoondeal_core::{CallId, Coverage, Doubt, Refusal, Snapshot, Time};
 use smallvec::SmallVec;
 
-use crate::delay::HedgeDelay;
-use crate::replica::Replicas;
+use crate::plan::{Action, Answer, Env, Loss, Plan, QuerySettings, Reply};
 
 /// Repeated calls that a group may have for each of its replicas after ends that may have run.
 const DOUBTS_PER_REPLICA: u32 = 2;
@@ -22,144 +20,6 @@
 /// Wait before a hedge is tried again that the budget did not allow.
 const HEDGE_RETRY: Duration = Duration::from_millis(1);
 
-/// `PlanGroup` is one group of the partition map.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PlanGroup {
-    /// Number of the group.
-    pub group: u32,
-    /// Its replicas that may be called.
-    pub leafs: SmallVec<[LeafId; 2]>,
-}
-
-/// `Plan` is the partition map that a query runs over.
-///
-/// Invariant: lists every group of the map, those without a callable leaf included, since coverage
-/// counts against all of them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Plan {
-    /// The pinned snapshot.
-    pub snapshot: Snapshot,
-    /// All groups.
-    pub groups: Vec<PlanGroup>,
-}
-
-/// `QuerySettings` bound one query.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct QuerySettings {
-    /// Time of the answer at the latest.
-    pub deadline: Time,
-    /// Whether calls may be hedged, and repeated after an end that may have run.
-    pub repeatable: bool,
-    /// Delay before a call is hedged, in place of the tracked one.
-    pub hedge_delay: Option<Duration>,
-    /// Wait before a refused group is tried again, doubled each time round.
-    pub backoff: Duration,
-    /// How long a group is tried whose replicas all refuse, as while their leases move.
-    pub patience: Duration,
-}
-
-impl Default for QuerySettings {
-    fn default() -> Self {
-        Self {
-            deadline: Time::MAX,
-            repeatable: true,
-            hedge_delay: None,
-            backoff: Duration::from_millis(1),
-            patience: Duration::from_millis(250),
-        }
-    }
-}
-
-/// `Reply` is the end of one call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reply<T> {
-    /// The leaf answered from the snapshot in the stamp.
-    Data {
-        /// Snapshot that the leaf stamped on the answer.
-        stamp: Snapshot,
-        /// Content of the answer.
-        part: T,
-    },
-    /// The call was proved not to have run.
-    NotRun(Refusal),
-    /// The call may have run.
-    Unknown(Doubt),
-}
-
-/// `Action` is something the query wants done.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Send a call.
-    Call {
-        /// Identity of the call.
-        call: CallId,
-        /// Group that it is for.
-        group: u32,
-        /// Leaf to call.
-        leaf: LeafId,
-        /// Whether another call for the group is under way.
-        hedge: bool,
-    },
-    /// Cancel a call whose answer is no longer wanted.
-    Cancel {
-        /// Identity of the call.
-        call: CallId,
-        /// Leaf that was called.
-        leaf: LeafId,
-    },
-}
-
-/// `Answer` is the end of a query.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Answer<T> {
-    /// Snapshot of every part.
-    pub snapshot: Snapshot,
-    /// Groups with a part, against the whole partition map.
-    pub coverage: Coverage,
-    /// Parts by group.
-    pub parts: Vec<(u32, T)>,
-    /// Groups without a part and the last reason.
-    pub lost: Vec<(u32, Loss)>,
-    /// Group that was answered last, and the time it took.
-    pub slowest: Option<(u32, Duration)>,
-    /// Time from the start to the end.
-    pub elapsed: Duration,
-    /// Calls sent to leafs, hedges and retries included.
-    pub calls: u32,
-    /// Hedged calls among them.
-    pub hedges: u32,
-    /// Calls that ended with an error of the leaf.
-    pub errors: u32,
-}
-
-/// `Loss` is the reason for which a group has no part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Loss {
-    /// Every call was proved not to have run.
-    NotRun(Refusal),
-    /// A call may have run.
-    Unknown(Doubt),
-    /// The partition map lists no callable leaf.
-    NoLeaf,
-    /// Still waiting at the deadline.
-    Deadline,
-}
-
-/// `Env` is what queries of one node share.
-#[derive(Debug)]
-pub struct Env<'a> {
-    /// Identity of the next call; counted up with each.
-    pub next_call: &'a mut CallId,
-    /// Knowledge of leafs.
-    pub replicas: &'a mut Replicas,
-    /// Budget of hedged calls.
-    pub hedges: &'a mut Budget,
-    /// Delay before a call is hedged.
-    pub delay: &'a mut HedgeDelay,
-    /// Budget of repeated calls.
-    pub retries: &'a mut Budget,
-}
-
 /// A call under way.
 #[derive(Clone, Copy, Debug)]
 struct Running {
--- a/programs/fakenet/src/lib.rs
+++ b/programs/fakenet/src/lib.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod leafs;
 mod links;
+mod options;
 mod store;
 
 use std::cmp::Reverse;
@@ -17,14 +18,13 @@
 use monsoondeal_core::{LeafId, NodeId, Time};
 use monsoondeal_engine::io::{LeafCall, LeafEnd, LinkId, Request, Response, Ticket, Token};
 use monsoondeal_engine::{Engine, EngineSettings, Input, Message, Output, VMS_KEY, VmList};
-use monsoondeal_limit::OnceSettings;
-use monsoondeal_member::{CellSettings, Member};
+use monsoondeal_member::Member;
 use monsoondeal_moves::WallClock;
-use monsoondeal_route::{QuerySettings, ReplicaSettings};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
 pub use leafs::{LeafMode, Leafs};
+pub use options::Options;
 pub use store::first_map;
 use store::first_tree;
 
@@ -35,60 +35,6 @@
 /// Failure domains.
 pub const DOMAINS: [&str; 4] = ["p1", "p2", "p3", "p4"];
 
-/// `Options` shape a network.
-#[derive(Clone, Copy, Debug)]
-pub struct Options {
-    /// Seed of everything random.
-    pub seed: u64,
-    /// Nodes at the start.
-    pub nodes: usize,
-    /// Groups of the partition map, of two leafs each.
-    pub groups: usize,
-    /// Spans of membership.
-    pub spans: CellSettings,
-    /// Bounds of the tables of idempotency keys.
-    pub once: OnceSettings,
-    /// Most requests of callers under way at a node.
-    pub inflight: usize,
-    /// Choice between replicas.
-    pub replicas: ReplicaSettings,
-    /// Bounds of queries.
-    pub query: QuerySettings,
-    /// Least and largest delay of a message between nodes, in microseconds.
-    pub hop: (u64, u64),
-    /// Calls that a leaf bears.
-    pub slots: u32,
-    /// Whether messages go through the codec, and their bytes are counted.
-    pub codec: bool,
-    /// A node that holds its leases for longer than the others allow for.
-    pub stubborn: Option<(usize, Duration)>,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        let spans = CellSettings {
-            hold: Duration::from_millis(2_000),
-            longest_call: Duration::from_millis(1_000),
-            silence: Duration::from_millis(2_000),
-            heartbeat: Duration::from_millis(500),
-        };
-        Self {
-            seed: 1,
-            nodes: 6,
-            groups: 8,
-            spans,
-            once: OnceSettings::default(),
-            inflight: 10_000,
-            replicas: ReplicaSettings::default(),
-            query: QuerySettings::default(),
-            hop: (200, 1_500),
-            slots: 2,
-            codec: true,
-            stubborn: None,
-        }
-    }
-}
-
 /// Something that happens at a time.
 #[derive(Debug)]
 enum Event {
--- /dev/null
+++ b/programs/fakenet/src/options.rs
@@ -0,0 +1,61 @@
+//! What a network is shaped by.
+
+use std::time::Duration;
+
+use monsoondeal_limit::OnceSettings;
+use monsoondeal_member::CellSettings;
+use monsoondeal_route::{QuerySettings, ReplicaSettings};
+
+/// `Options` shape a network.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Seed of everything random.
+    pub seed: u64,
+    /// Nodes at the start.
+    pub nodes: usize,
+    /// Groups of the partition map, of two leafs each.
+    pub groups: usize,
+    /// Spans of membership.
+    pub spans: CellSettings,
+    /// Bounds of the tables of idempotency keys.
+    pub once: OnceSettings,
+    /// Most requests of callers under way at a node.
+    pub inflight: usize,
+    /// Choice between replicas.
+    pub replicas: ReplicaSettings,
+    /// Bounds of queries.
+    pub query: QuerySettings,
+    /// Least and largest delay of a message between nodes, in microseconds.
+    pub hop: (u64, u64),
+    /// Calls that a leaf bears.
+    pub slots: u32,
+    /// Whether messages go through the codec, and their bytes are counted.
+    pub codec: bool,
+    /// A node that holds its leases for longer than the others allow for.
+    pub stubborn: Option<(usize, Duration)>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        let spans = CellSettings {
+            hold: Duration::from_millis(2_000),
+            longest_call: Duration::from_millis(1_000),
+            silence: Duration::from_millis(2_000),
+            heartbeat: Duration::from_millis(500),
+        };
+        Self {
+            seed: 1,
+            nodes: 6,
+            groups: 8,
+            spans,
+            once: OnceSettings::default(),
+            inflight: 10_000,
+            replicas: ReplicaSettings::default(),
+            query: QuerySettings::default(),
+            hop: (200, 1_500),
+            slots: 2,
+            codec: true,
+            stubborn: None,
+        }
+    }
+}
--- a/programs/monsoondeal/tests/cli.rs
+++ b/programs/monsoondeal/tests/cli.rs
@@ -96,3 +96,40 @@
     let output = run(args);
     assert_eq!(output.status.code(), Some(code), "{output:?}");
 }
+
+/// The operators' page names every setting, key and command of the program.
+#[test]
+fn operators_page_is_complete() {
+    let page = include_str!("../../../docs/operations.md");
+    for setting in monsoondeal_config::SETTINGS {
+        assert!(
+            page.contains(&format!("| `{}` |", setting.name)),
+            "setting {}",
+            setting.name
+        );
+    }
+    // An empty file is told which keys are known.
+    let path = file("keys", "{ \"x\": 1 }");
+    let output = run(&["check", &path.display().to_string()]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let known = text
+        .split("known here: ")
+        .nth(1)
+        .and_then(|rest| rest.lines().next());
+    for key in known.expect("the keys are listed").split(", ") {
+        let names = [format!("| `{key}` |"), format!("| `{key}.callers` |")];
+        assert!(names.iter().any(|name| page.contains(name)), "key {key}");
+    }
+    let help = run(&["ctl", "--help"]);
+    let help = String::from_utf8_lossy(&help.stdout).into_owned();
+    let listed = help
+        .split("Commands:")
+        .nth(1)
+        .and_then(|rest| rest.split("Options:").next());
+    let commands = listed.expect("commands are listed").lines();
+    for command in commands.filter_map(|line| line.split_whitespace().next()) {
+        let shown =
+            page.contains(&format!("ctl {command}")) || page.contains(&format!("{command} "));
+        assert!(shown || command == "help", "command {command}");
+    }
+}
--- a/programs/standin/src/demo.rs
+++ b/programs/standin/src/demo.rs
@@ -8,6 +8,8 @@
 
 /// Nodes of the demo.
 const NODES: usize = 6;
+/// Seconds of load before the measured one: leafs begin in cold start.
+const WARM_UP: u64 = 3;
 
 /// Starts the system, prints a few answers, loads it, stops a node under load and sums up.
 pub(crate) async fn run(seconds: u64) -> io::Result<()> {
@@ -44,6 +46,13 @@
     println!("\nthe same order again, as a balancer's retry:");
     print_answer(&balancer, "ordering", "order", Some("leather-1")).await;
 
+    println!("\nwarming the leafs for {WARM_UP} s");
+    let warm_up = Duration::from_secs(WARM_UP);
+    futures_util::join!(
+        balancer.load(warm_up_load("catalogue", "urgent", warm_up)),
+        balancer.load(warm_up_load("ordering", "lookup", warm_up)),
+    );
+
     println!("\nload for {seconds} s; one node is stopped with SIGTERM in the middle");
     let span = Duration::from_secs(seconds);
     let load = |service: &str, kind: &str, rate, keyed| LoadOptions {
@@ -70,6 +79,16 @@
     print_leafs(&system).await
 }
 
+fn warm_up_load(service: &str, kind: &str, span: Duration) -> LoadOptions {
+    LoadOptions {
+        service: service.to_owned(),
+        kind: kind.to_owned(),
+        rate: 60.0,
+        span,
+        keyed: false,
+    }
+}
+
 async fn print_answer(balancer: &Balancer, service: &str, kind: &str, key: Option<&str>) {
     println!("\nPOST /v1/{service}/{kind}");
     let Some((status, answer)) = balancer.send(service, kind, key, "endband 1540").await else {
