--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -7,9 +7,8 @@
 use monsoondeal_config::Resolved;
 use monsoondeal_core::{CallId, Doubt, Findings, FixedMap, Priority, Refusal, Time};
 use monsoondeal_limit::{Admission, Budget};
-use monsoondeal_route::Loss;
 use monsoondeal_route::{
-    Action, Answer, Env, HedgeDelay, Plan, Query, QuerySettings, Replicas, Reply,
+    Action, Answer, Env, HedgeDelay, Loss, Plan, Query, QuerySettings, Replicas, Reply,
 };
 
 use crate::engine::{Engine, EngineSettings, Local, Timer};
@@ -17,6 +16,7 @@
 use crate::io::{Fault, Output, Request, Response, Token};
 use crate::message::{Call, CallEnd, Message};
 use crate::orders::Pending;
+use crate::shift::Version;
 
 /// Retries allowed per regular call, after ends that may have run.
 const RETRY_RATIO: f64 = 0.1;
@@ -26,14 +26,15 @@
 const KEY_LIMIT: usize = 200;
 /// Longest request body, in bytes.
 pub const BODY_LIMIT: usize = 64 * 1024;
+
 /// Identity of a query within the node.
 pub(crate) type QueryId = u64;
 
 /// What a query is run for.
 #[derive(Debug)]
 pub(crate) enum Purpose {
-    /// A caller's request; during a version move, whether it went to the new version.
-    Caller(Token, Option<bool>),
+    /// A caller's request; during a version move, the version that it went to.
+    Caller(Token, Option<Version>),
     /// A request that may run at most once, by this node as the home of its key.
     Home(HomeJob),
 }
@@ -337,11 +338,11 @@
     }
 
     /// Returns the plan of a service's present version, or of the next one.
-    pub(crate) fn plan_of(&self, service: &str, version: Option<bool>) -> Option<Rc<Plan>> {
+    pub(crate) fn plan_of(&self, service: &str, version: Option<Version>) -> Option<Rc<Plan>> {
         let map = self.config.maps.get(service)?;
         match version {
-            Some(true) => map.next.clone(),
-            _ => Some(map.plan.clone()),
+            Some(Version::New) => map.next.clone(),
+            Some(Version::Old) | None => Some(map.plan.clone()),
         }
     }
 
@@ -421,12 +422,12 @@
         self.note_load(&live.service, live.priority, &answer, now);
         match live.purpose {
             Purpose::Caller(token, version) => {
-                if let Some(new) = version {
-                    self.note_version(&live.service, &live.kind, new, &answer, now, out);
+                if let Some(version) = version {
+                    self.note_version(&live.service, &live.kind, version, &answer, now, out);
                 }
                 self.respond(token, response(answer), out);
             }
-            Purpose::Home(job) => self.finish_home_job(job, answer, now, out),
+            Purpose::Home(job) => self.finish_home_job(job, answer, out),
         }
     }
 
--- a/crates/engine/src/home.rs
+++ b/crates/engine/src/home.rs
@@ -21,6 +21,7 @@
 use crate::io::{Output, Request, Token};
 use crate::message::{Keys, Message, Order, OrderAnswer, OrderEnd};
 use crate::placement::{KEY_PLACES, key_seat};
+use crate::shift::Version;
 
 /// An order under way at its home.
 #[derive(Debug)]
@@ -109,10 +110,8 @@
         &mut self,
         job: HomeJob,
         mut answer: Answer<Bytes>,
-        now: Time,
         out: &mut Vec<Output>,
     ) {
-        let _ = now;
         let end = match (answer.parts.pop(), answer.lost.first()) {
             (Some((group, body)), _) => OrderEnd::Answered(OrderAnswer {
                 snapshot: answer.snapshot,
@@ -296,7 +295,7 @@
         // Orders stay on the old version until a move is done.
         let done = self.moves.get(&order.service).is_some_and(|m| m.is_done());
         let next = done
-            .then(|| self.plan_of(&order.service, Some(true)))
+            .then(|| self.plan_of(&order.service, Some(Version::New)))
             .flatten();
         let plan = next.or_else(|| self.plan_of(&order.service, None))?;
         let selector = order.partition_key.as_deref().unwrap_or(&order.key);
--- a/crates/engine/src/shift.rs
+++ b/crates/engine/src/shift.rs
@@ -24,6 +24,13 @@
 /// Time after which a write of a record is tried again.
 const WRITE_LIMIT: Duration = Duration::from_secs(4);
 
+/// Version that a request goes to during a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Version {
+    Old,
+    New,
+}
+
 /// A move of one service as this node knows it.
 #[derive(Debug)]
 pub(crate) struct Moving {
@@ -85,18 +92,18 @@
 }
 
 impl Engine {
-    /// Returns whether the next request for a service goes to its new version, or `None` if there
-    /// is no move under way.
-    pub(crate) fn pick_version(&mut self, service: &str, now: Time) -> Option<bool> {
+    /// Returns the version that the next request for a service goes to, or `None` if there is no move
+    /// of it.
+    pub(crate) fn pick_version(&mut self, service: &str, now: Time) -> Option<Version> {
         let moving = self.moves.get_mut(service)?;
         let next = self.config.maps.get(service)?.next.as_ref()?;
         if next.snapshot != moving.record.to {
             return None;
         }
         match moving.record.progress {
-            Progress::Running { .. } => Some(moving.guard.pick_new(now)),
-            Progress::Done => Some(true),
-            Progress::Reversed { .. } => Some(false),
+            Progress::Running { .. } if moving.guard.pick_new(now) => Some(Version::New),
+            Progress::Done => Some(Version::New),
+            Progress::Running { .. } | Progress::Reversed { .. } => Some(Version::Old),
         }
     }
 
@@ -105,7 +112,7 @@
         &mut self,
         service: &str,
         route: &str,
-        new: bool,
+        version: Version,
         answer: &Answer<Bytes>,
         now: Time,
         out: &mut Vec<Output>,
@@ -116,6 +123,7 @@
         if !moving.record.is_running() {
             return;
         }
+        let new = version == Version::New;
         let failed = answer.errors > 0 || answer.coverage.answered == 0;
         let slow = moving.is_slow(route, new, answer.elapsed);
         let stopped = moving.guard.note(route, new, Outcome { failed, slow });
