--- /dev/null
+++ b/programs/standin/tests/hostile.rs
@@ -0,0 +1,147 @@
+//! Malformed input on every socket of a node: a clear answer or a closed connection, and it goes on.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use standin::caller::Balancer;
+use standin::system::{ServiceShape, System};
+
+/// Status of a request whose body ends too early.
+const CUT_SHORT: &str = "413";
+/// Longest wait for a node to answer or to close a connection.
+const ANSWER_LIMIT: Duration = Duration::from_secs(20);
+
+/// Sends the parts, each after the answer to the one before, and returns what comes back until the
+/// node closes the connection or stays silent.
+fn exchange(addr: SocketAddr, parts: &[Vec<u8>], end: bool) -> String {
+    let mut stream = TcpStream::connect(addr).expect("the node listens");
+    stream
+        .set_read_timeout(Some(ANSWER_LIMIT))
+        .expect("a timeout");
+    let mut answer = Vec::new();
+    for (at, part) in parts.iter().enumerate() {
+        // The node may close before it has read everything.
+        let _ = stream.write_all(part);
+        if at + 1 < parts.len() {
+            let mut chunk = [0; 1_024];
+            let count = stream.read(&mut chunk).unwrap_or(0);
+            answer.extend(&chunk[..count]);
+        }
+    }
+    if end {
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+    }
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Which socket of a node.
+#[derive(Clone, Copy, Debug)]
+enum Port {
+    Callers,
+    Peers,
+    Admin,
+}
+
+fn headers(count: usize) -> Vec<u8> {
+    let fields: String = (0..count).map(|i| format!("x-field-{i}: 1\r\n")).collect();
+    format!("POST /v1/catalogue/lookup HTTP/1.1\r\nhost: a\r\n{fields}\r\n").into_bytes()
+}
+
+fn post(fields: &str, body: &str) -> Vec<u8> {
+    format!(
+        "POST /v1/catalogue/lookup HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{fields}\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// Opens a WebSocket by hand and sends a frame that is no list of messages.
+fn bad_frame() -> Vec<Vec<u8>> {
+    let handshake =
+        b"GET /peer HTTP/1.1\r\nhost: a\r\nupgrade: websocket\r\nconnection: upgrade\r\n\
+        sec-websocket-version: 13\r\nsec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    // A masked binary frame of three bytes.
+    let frame = vec![0x82, 0x83, 0, 0, 0, 0, 0xff, 0xff, 0xff];
+    vec![handshake.to_vec(), frame]
+}
+
+async fn start() -> System {
+    let mut system = System::start("hostile", vec!["p1"]).expect("the store starts");
+    let shape = ServiceShape {
+        name: "catalogue",
+        owner: "rilegatoria",
+        groups: 2,
+        replicas: 2,
+        leaf_args: Vec::new(),
+        settings: vec![("deadline_ms", "5000")],
+        kinds: Vec::new(),
+    };
+    system.add_service(shape).await.expect("the service starts");
+    for _ in 0..3 {
+        system.add_node().expect("a node starts");
+    }
+    system.wait_ready().await.expect("the nodes are ready");
+    system
+}
+
+/// Returns each input: its name, where it goes, its parts, and what the answer holds.
+fn inputs() -> Vec<(&'static str, Port, Vec<Vec<u8>>, &'static str)> {
+    let long = format!("x-long: {}\r\n", "a".repeat(600_000));
+    let twice = "idempotency-key: a\r\nidempotency-key: b\r\n";
+    let page = b"GET /etc HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n".to_vec();
+    let plain = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n".to_vec();
+    let callers = |name, part, expected| (name, Port::Callers, vec![part], expected);
+    vec![
+        callers("garbage", b"\x00\x01garbage\r\n\r\n".to_vec(), "400"),
+        callers("too many fields", headers(100), "431"),
+        callers("long field", post(&long, ""), "431"),
+        callers(
+            "bad deadline",
+            post("x-deadline-ms: soon\r\n", ""),
+            "number of milliseconds",
+        ),
+        callers("field twice", post(twice, ""), "stands more than once"),
+        callers(
+            "field not ASCII",
+            post("idempotency-key: \u{e9}\r\n", ""),
+            "visible ASCII",
+        ),
+        callers(
+            "body cut short",
+            post("content-length: 100\r\n", "short"),
+            CUT_SHORT,
+        ),
+        ("no WebSocket", Port::Peers, vec![plain], ""),
+        (
+            "garbage from a peer",
+            Port::Peers,
+            vec![vec![0xff; 4_096]],
+            "",
+        ),
+        ("bad frame from a peer", Port::Peers, bad_frame(), "101"),
+        ("unknown page", Port::Admin, vec![page], "no page '/etc'"),
+    ]
+}
+
+#[compio::test]
+async fn hostile_input_is_answered() {
+    let system = start().await;
+    let node = &system.nodes[0];
+    let balancer = Balancer::start(vec![node.addrs]).await;
+    for (name, port, parts, expected) in inputs() {
+        let addr = match port {
+            Port::Callers => node.addrs.callers,
+            Port::Peers => node.peer,
+            Port::Admin => node.addrs.admin,
+        };
+        let end = expected == CUT_SHORT || expected.is_empty();
+        let answer = exchange(addr, &parts, end);
+        assert!(answer.contains(expected), "{name}: {answer}");
+
+        // The node goes on.
+        let sent = balancer.send("catalogue", "lookup", None, "endband").await;
+        let (status, answer) = sent.expect("a response");
+        assert_eq!(status, 200, "after {name}: {answer}");
+    }
+}
