--- a/programs/standin/tests/system.rs
+++ b/programs/standin/tests/system.rs
@@ -49,6 +49,25 @@
     }
 }
 
+/// Waits until the state of every given node passes a check.
+async fn wait_states<F>(system: &System, nodes: &[usize], check: F)
+where
+    F: Fn(&serde_json::Value) -> bool,
+{
+    for _ in 0..150 {
+        let mut passed = 0;
+        for node in nodes {
+            let state = system.node_state(system.nodes[*node].addrs.admin).await;
+            passed += usize::from(state.is_some_and(|state| check(&state)));
+        }
+        if passed == nodes.len() {
+            return;
+        }
+        sleep(100).await;
+    }
+    panic!("nodes did not come to the wanted state in 15 s");
+}
+
 async fn sleep(millis: u64) {
     compio::time::sleep(Duration::from_millis(millis)).await;
 }
@@ -149,14 +168,14 @@
 
     // A node that starts meanwhile takes the configuration from its peers.
     let newcomer = system.add_node().expect("the node starts");
-    sleep(3_000).await;
     let addrs = system.nodes[newcomer].addrs;
     let old = system
         .node_state(system.nodes[0].addrs.admin)
         .await
         .expect("a state");
-    let new = system.node_state(addrs.admin).await.expect("a state");
-    assert_eq!(new["versions"]["tree"], old["versions"]["tree"]);
+    let tree = old["versions"]["tree"].clone();
+    wait_states(&system, &[newcomer], |new| new["versions"]["tree"] == tree).await;
+    wait_states(&system, &[newcomer], |new| new["ready"] == true).await;
     let answer = balancer
         .send_to(addrs, "catalogue", "lookup", None, "endband")
         .await;
@@ -425,7 +444,10 @@
         text.contains("taken back: an operator took it back"),
         "{text}"
     );
-    sleep(1_000).await;
+    let reversed = |state: &serde_json::Value| {
+        state["moves"][0]["progress"]["state"].as_str() == Some("reversed")
+    };
+    wait_states(&system, &[0, 1, 2], reversed).await;
     let tally = balancer.load(load("lookup", 50.0, 2)).await;
     assert!(
         !tally.indexes.contains_key(&2),
