Make gates and conducts in one place each, remove two unused queries

Behaviour is unchanged. Two places made a leaf's gate and two made a move's conduct; each has one function now. MoveRecord::span and Evidence::new_requests had no caller. The tests of engine and moves pass.

--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -61,13 +61,7 @@
             deadline: now + Duration::from_micros(call.budget),
             hedge: call.hedge,
         };
-        let settings = self.gate_settings(leaf);
-        let gate = self
-            .holder
-            .gates
-            .entry(leaf)
-            .or_insert_with(|| Gate::new(settings));
-        match gate.offer(offer, now) {
+        match self.gate(leaf).offer(offer, now) {
             Decision::Start => self.start_call(id, call, now, out),
             Decision::Queued => {
                 self.holder.waiting.insert(id, call);
@@ -184,13 +178,7 @@
             if self.seats.leafs.holder(leaf) != Some(me) {
                 continue;
             }
-            let settings = self.gate_settings(leaf);
-            let gate = self
-                .holder
-                .gates
-                .entry(leaf)
-                .or_insert_with(|| Gate::new(settings));
-            gate.presume_warm(service);
+            self.gate(leaf).presume_warm(service);
         }
     }
 
@@ -251,6 +239,13 @@
         }
     }
 
+    /// Returns the gate of a leaf, made if there is none yet.
+    fn gate(&mut self, leaf: LeafId) -> &mut Gate<CallKey> {
+        let settings = self.gate_settings(leaf);
+        let gates = &mut self.holder.gates;
+        gates.entry(leaf).or_insert_with(|| Gate::new(settings))
+    }
+
     fn gate_settings(&self, leaf: LeafId) -> GateSettings {
         let service = self.config.leafs.get(&leaf).map(|info| &*info.service);
         let resolved = service
--- a/crates/engine/src/shift.rs
+++ b/crates/engine/src/shift.rs
@@ -180,14 +180,7 @@
         if !moving.record.is_running() {
             return;
         }
-        let record = &moving.record;
-        let conduct = moving.conduct.get_or_insert_with(|| {
-            Conduct::new(
-                record.plan(wall),
-                VerdictSettings::default(),
-                record.state(wall),
-            )
-        });
+        let conduct = moving.conduct(wall);
         conduct.on_report(node, report.evidence, now);
         // Everything goes to the new version only once that is written down.
         let share = conduct.share();
--- a/crates/moves/src/evidence.rs
+++ b/crates/moves/src/evidence.rs
@@ -95,9 +95,4 @@
             ours.new.merge(theirs.new);
         }
     }
-
-    /// Returns the requests of the new version on all routes.
-    pub fn new_requests(&self) -> u64 {
-        self.routes.values().map(|r| r.new.requests).sum()
-    }
 }
--- a/crates/moves/src/record.rs
+++ b/crates/moves/src/record.rs
@@ -1,7 +1,5 @@
 //! The record of a move in the store.
 
-use std::time::Duration;
-
 use monsoondeal_core::{Snapshot, Time};
 use serde::{Deserialize, Serialize};
 
@@ -109,9 +107,4 @@
             ..self.clone()
         }
     }
-
-    /// Returns the time from the start to the set time.
-    pub fn span(&self) -> Duration {
-        Duration::from_millis(self.by.saturating_sub(self.start))
-    }
 }
