--- /dev/null
+++ b/crates/edge/src/config.rs
@@ -0,0 +1,148 @@
+//! The configuration in force: routes, services and limits of one version.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Name of a service, route or leaf. Cloning it is cheap.
+pub type Name = Rc<str>;
+
+/// `Repeat` says whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// The request is idempotent: it may be hedged and retried.
+    Idempotent,
+    /// The request may run at most once.
+    AtMostOnce,
+}
+
+/// `Gather` says how the answers of shards become one response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Gather {
+    /// Most records of a response.
+    pub top_k: usize,
+    /// Least share of the shards that a response must include, from 0 to 1.
+    pub min_coverage: f64,
+}
+
+/// `Target` is where the requests of a route go.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Target {
+    /// One leaf of a service.
+    Service(Name),
+    /// One leaf of one of several services, chosen in proportion to their weights.
+    Split(Vec<(Name, f64)>),
+    /// One leaf of each shard.
+    FanOut(Vec<Name>, Gather),
+}
+
+/// `Route` says how requests under one path prefix are served.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name, unique in a configuration.
+    pub name: Name,
+    /// Host that the route belongs to.
+    pub host: String,
+    /// Path prefix. Begins and ends with a slash.
+    pub prefix: String,
+    /// Where requests go.
+    pub target: Target,
+    /// Whether requests may run more than once.
+    pub repeat: Repeat,
+    /// Longest time that a request is kept waiting.
+    pub timeout: Duration,
+    /// Time within which a response is of full use to the caller.
+    pub objective: Duration,
+    /// Most leafs of a service that one request may run on. At least 1.
+    pub attempts: usize,
+    /// Rank; 0 is served first.
+    pub priority: u32,
+}
+
+/// `Service` holds what the configuration says of a service's leafs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Connections that one leaf accepts from all nodes together.
+    pub connections: usize,
+    /// Requests a second that one cold leaf bears from all nodes together; `None` without a bound.
+    pub cold_rate: Option<f64>,
+    /// How long a leaf stays cold after its start.
+    pub warmup: Duration,
+}
+
+/// `Limits` bound what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Longest time to send the head of a request.
+    pub head_timeout: Duration,
+    /// Longest time that a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            head_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// `Config` is one version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Version; a later configuration has a higher one.
+    pub version: u64,
+    /// Services by name.
+    pub services: HashMap<Name, Service>,
+    /// Limits for callers.
+    pub limits: Limits,
+    /// Routes by host, then by prefix.
+    routes: HashMap<String, HashMap<String, Rc<Route>>>,
+}
+
+impl Config {
+    /// Creates a configuration. Of two routes with the same host and prefix the later one holds.
+    pub fn new<R>(version: u64, routes: R, services: HashMap<Name, Service>, limits: Limits) -> Self
+    where
+        R: IntoIterator<Item = Route>,
+    {
+        let mut table: HashMap<String, HashMap<String, Rc<Route>>> = HashMap::new();
+        for route in routes {
+            table
+                .entry(route.host.to_ascii_lowercase())
+                .or_default()
+                .insert(route.prefix.clone(), Rc::new(route));
+        }
+        Self {
+            version,
+            services,
+            limits,
+            routes: table,
+        }
+    }
+
+    /// Returns the route of a request: the longest prefix of `path` among the routes of `host`. A port
+    /// in `host` and a query in `path` are left out.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let path = path.split(['?', '#']).next().unwrap_or_default();
+        let routes = match self.routes.get(host) {
+            Some(routes) => routes,
+            None => self.routes.get(&host.to_ascii_lowercase())?,
+        };
+        let ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
+        ends.into_iter().find_map(|end| routes.get(&path[..end]))
+    }
+
+    /// Returns the number of routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(HashMap::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/directory.rs
@@ -0,0 +1,245 @@
+//! The leafs that are known, and which of them may get new work.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use monsoondeal_core::{FixedMap, LeafId, Time};
+use smallvec::SmallVec;
+
+use crate::config::Name;
+
+/// How long a leaf whose entry vanished in doubt is kept. It covers the time within which living leafs
+/// register again, and ends before a leaf that left must have got its last request.
+const HOLD: Duration = Duration::from_millis(2_200);
+/// Span in which entries that vanish count as one event.
+const VANISH_SPAN: Duration = Duration::from_millis(400);
+/// Entries that vanish together, as a share of all, from which on the registry is doubted.
+const DOUBT_SHARE: f64 = 0.2;
+/// Least number of entries that vanish together for the registry to be doubted.
+const DOUBT_LEAST: usize = 4;
+
+/// `LeafEntry` is what a leaf says of itself in the registry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeafEntry {
+    /// Name of the leaf, unique at a time.
+    pub name: Name,
+    /// Start of the leaf, in Unix milliseconds: tells incarnations of one name apart.
+    pub born: u64,
+    /// Service that it belongs to.
+    pub service: Name,
+    /// Where it accepts connections.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: Name,
+    /// Version of its software.
+    pub version: Name,
+    /// Requests that it works on at once.
+    pub slots: usize,
+    /// Whether it asks for no new work.
+    pub draining: bool,
+    /// How much longer it stays cold.
+    pub warmup: Duration,
+}
+
+/// One incarnation of a leaf.
+#[derive(Clone, Debug)]
+pub(crate) struct Leaf {
+    pub(crate) entry: LeafEntry,
+    /// Cold until then.
+    pub(crate) cold_until: Time,
+    /// Its entry vanished in doubt; it is dropped then unless the entry returns.
+    pub(crate) drop_at: Option<Time>,
+}
+
+/// `Removal` tells what became of a leaf whose entry vanished.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removal {
+    /// The leaf is not known.
+    Unknown,
+    /// The leaf gets no new work.
+    Retired(LeafId),
+    /// The registry lost entries of living leafs; the leaf is kept for a moment.
+    Held(LeafId),
+}
+
+/// `Directory` holds the leafs of all services.
+#[derive(Debug, Default)]
+pub struct Directory {
+    leafs: FixedMap<LeafId, Leaf>,
+    names: HashMap<Name, LeafId>,
+    services: HashMap<Name, SmallVec<[LeafId; 4]>>,
+    closed_domains: HashSet<Name>,
+    /// Entries that vanish until then are held.
+    doubt_until: Time,
+    /// Times at which entries vanished, within the last [`VANISH_SPAN`].
+    vanished: Vec<Time>,
+    next: u64,
+}
+
+impl Directory {
+    /// Adds or updates a leaf. Returns the incarnation that this one replaces, if any.
+    pub fn upsert(&mut self, entry: LeafEntry, now: Time) -> Option<LeafId> {
+        let known = self.names.get(&entry.name).copied();
+        if let Some(id) = known
+            && let Some(leaf) = self.leafs.get_mut(&id)
+        {
+            if entry.born < leaf.entry.born {
+                return None;
+            }
+            let same = entry.born == leaf.entry.born
+                && entry.addr == leaf.entry.addr
+                && entry.service == leaf.entry.service;
+            if same {
+                leaf.cold_until = now + entry.warmup;
+                leaf.drop_at = None;
+                leaf.entry = entry;
+                return None;
+            }
+        }
+        let replaced = known.inspect(|&id| self.forget(id));
+        let id = LeafId(self.next);
+        self.next += 1;
+        self.names.insert(entry.name.clone(), id);
+        self.services
+            .entry(entry.service.clone())
+            .or_default()
+            .push(id);
+        let leaf = Leaf {
+            cold_until: now + entry.warmup,
+            drop_at: None,
+            entry,
+        };
+        self.leafs.insert(id, leaf);
+        replaced
+    }
+
+    /// Notes that a leaf's entry vanished.
+    pub fn remove(&mut self, name: &str, now: Time) -> Removal {
+        let Some(&id) = self.names.get(name) else {
+            return Removal::Unknown;
+        };
+        self.vanished.retain(|at| now.since(*at) <= VANISH_SPAN);
+        self.vanished.push(now);
+        let known = self.leafs.len();
+        let together = self.vanished.len();
+        if together >= DOUBT_LEAST && together as f64 >= DOUBT_SHARE * known as f64 {
+            self.doubt(now);
+        }
+        let Some(leaf) = self.leafs.get_mut(&id) else {
+            return Removal::Unknown;
+        };
+        if now < self.doubt_until && !leaf.entry.draining {
+            leaf.drop_at.get_or_insert(now + HOLD);
+            return Removal::Held(id);
+        }
+        self.forget(id);
+        Removal::Retired(id)
+    }
+
+    /// Replaces the content by a full listing. Returns the leafs that are replaced or gone.
+    pub fn replace(&mut self, entries: Vec<LeafEntry>, now: Time) -> Vec<LeafId> {
+        let listed: HashSet<Name> = entries.iter().map(|e| e.name.clone()).collect();
+        let missing: Vec<Name> = self
+            .names
+            .keys()
+            .filter(|name| !listed.contains(*name))
+            .cloned()
+            .collect();
+        let mut retired: Vec<LeafId> = entries
+            .into_iter()
+            .filter_map(|entry| self.upsert(entry, now))
+            .collect();
+        for name in missing {
+            if let Removal::Retired(id) = self.remove(&name, now) {
+                retired.push(id);
+            }
+        }
+        retired
+    }
+
+    /// Notes that the registry was out of reach: entries that vanish soon may belong to living leafs.
+    pub fn doubt(&mut self, now: Time) {
+        self.doubt_until = self.doubt_until.max(now + HOLD);
+    }
+
+    /// Closes these failure domains and opens all others.
+    pub fn close_domains(&mut self, domains: HashSet<Name>) {
+        self.closed_domains = domains;
+    }
+
+    /// Drops leafs whose entries did not return in time.
+    pub fn expire(&mut self, now: Time) -> Vec<LeafId> {
+        let due = |leaf: &Leaf| leaf.drop_at.is_some_and(|at| at <= now);
+        let gone: Vec<LeafId> = self
+            .leafs
+            .iter()
+            .filter(|(_, leaf)| due(leaf))
+            .map(|(id, _)| *id)
+            .collect();
+        for &id in &gone {
+            self.forget(id);
+        }
+        gone
+    }
+
+    /// Returns when the next leaf is dropped unless its entry returns.
+    pub fn next_expiry(&self) -> Option<Time> {
+        self.leafs.values().filter_map(|leaf| leaf.drop_at).min()
+    }
+
+    /// Returns the leafs of a service that may get new work.
+    pub fn usable(&self, service: &str) -> SmallVec<[LeafId; 4]> {
+        let Some(ids) = self.services.get(service) else {
+            return SmallVec::new();
+        };
+        ids.iter()
+            .copied()
+            .filter(|&id| self.is_usable(id))
+            .collect()
+    }
+
+    /// Returns whether a leaf may get new work.
+    pub fn is_usable(&self, id: LeafId) -> bool {
+        self.leafs.get(&id).is_some_and(|leaf| {
+            !leaf.entry.draining && !self.closed_domains.contains(&leaf.entry.domain)
+        })
+    }
+
+    /// Returns what a leaf last said of itself.
+    pub fn entry(&self, id: LeafId) -> Option<&LeafEntry> {
+        self.leafs.get(&id).map(|leaf| &leaf.entry)
+    }
+
+    /// Returns whether a leaf is cold.
+    pub fn is_cold(&self, id: LeafId, now: Time) -> bool {
+        self.leafs
+            .get(&id)
+            .is_some_and(|leaf| now < leaf.cold_until)
+    }
+
+    /// Returns the number of leafs known.
+    pub fn len(&self) -> usize {
+        self.leafs.len()
+    }
+
+    /// Returns whether no leaf is known.
+    pub fn is_empty(&self) -> bool {
+        self.leafs.is_empty()
+    }
+
+    fn forget(&mut self, id: LeafId) {
+        let Some(leaf) = self.leafs.remove(&id) else {
+            return;
+        };
+        if self.names.get(&leaf.entry.name) == Some(&id) {
+            self.names.remove(&leaf.entry.name);
+        }
+        if let Some(ids) = self.services.get_mut(&leaf.entry.service) {
+            ids.retain(|other| *other != id);
+            if ids.is_empty() {
+                self.services.remove(&leaf.entry.service);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/job.rs
@@ -0,0 +1,233 @@
+//! One caller's request under way.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use monsoondeal_core::{CallId, LeafId, Time};
+use smallvec::SmallVec;
+
+use crate::action::{Answer, Reply, Summary};
+use crate::config::{Gather, Name, Repeat, Route, Target};
+use crate::merge::top_records;
+
+/// Share of the objective that is kept for the way back to the caller.
+const RETURN_SHARE: f64 = 0.05;
+/// Time that is kept for the way back to the caller, besides.
+const RETURN_TIME: Duration = Duration::from_millis(5);
+/// Retry advice when no leaf can be called at present.
+pub(crate) const NO_LEAF_RETRY: Duration = Duration::from_millis(300);
+/// Retry advice when all leafs are busy.
+pub(crate) const BUSY_RETRY: Duration = Duration::from_millis(100);
+
+/// How far a shard has come.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum ShardState {
+    /// Calls are under way, or wait for a leaf.
+    Open,
+    /// A leaf served it.
+    Done(Answer),
+    /// It will not be served; a leaf's own failure is kept.
+    Lost(Option<Answer>),
+}
+
+/// `Shard` is one service that a request needs an answer of.
+#[derive(Clone, Debug)]
+pub(crate) struct Shard {
+    pub(crate) service: Name,
+    pub(crate) state: ShardState,
+    /// Leafs not to be asked again.
+    pub(crate) tried: SmallVec<[LeafId; 4]>,
+    /// Calls under way.
+    pub(crate) open: SmallVec<[CallId; 2]>,
+    /// Leafs on which the request ran or may have run.
+    pub(crate) runs: usize,
+    /// Calls sent.
+    pub(crate) tries: usize,
+    /// Whether a call may have reached a leaf: any further one is a repeat.
+    pub(crate) arrived: bool,
+    /// Whether it waits for a leaf.
+    pub(crate) waiting: bool,
+    /// When the latest call was sent.
+    pub(crate) sent_at: Time,
+    /// When it is looked at again: to hedge, or to ask for a leaf.
+    pub(crate) look_at: Time,
+    /// The latest failure that a leaf answered with.
+    pub(crate) failure: Option<Answer>,
+}
+
+impl Shard {
+    fn new(service: Name, now: Time) -> Self {
+        Self {
+            service,
+            state: ShardState::Open,
+            tried: SmallVec::new(),
+            open: SmallVec::new(),
+            runs: 0,
+            tries: 0,
+            arrived: false,
+            waiting: false,
+            sent_at: now,
+            look_at: Time::MAX,
+            failure: None,
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.state == ShardState::Open
+    }
+}
+
+/// `Job` is one request and the state of its shards.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) route: Rc<Route>,
+    pub(crate) version: u64,
+    pub(crate) began: Time,
+    /// A complete response is waited for until then, an incomplete one sent after it.
+    pub(crate) answer_by: Time,
+    pub(crate) deadline: Time,
+    pub(crate) shards: Vec<Shard>,
+    pub(crate) hedges: usize,
+    pub(crate) retries: usize,
+    /// The timer that is set for the job.
+    pub(crate) wake: Time,
+}
+
+impl Job {
+    pub(crate) fn new(
+        route: Rc<Route>,
+        version: u64,
+        services: &[Name],
+        patience: Duration,
+        now: Time,
+    ) -> Self {
+        let back = route.objective.mul_f64(RETURN_SHARE) + RETURN_TIME;
+        let answer_by = now + route.objective.saturating_sub(back);
+        Self {
+            version,
+            began: now,
+            answer_by,
+            deadline: now + patience.min(route.timeout),
+            shards: services
+                .iter()
+                .map(|service| Shard::new(service.clone(), now))
+                .collect(),
+            hedges: 0,
+            retries: 0,
+            wake: Time::MAX,
+            route,
+        }
+    }
+
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+
+    /// Returns how the shards are merged, for a request to several.
+    pub(crate) fn gather(&self) -> Option<Gather> {
+        match &self.route.target {
+            Target::FanOut(_, gather) => Some(*gather),
+            Target::Service(_) | Target::Split(_) => None,
+        }
+    }
+
+    /// Returns the reply if it is due.
+    pub(crate) fn reply(&self, now: Time) -> Option<Reply> {
+        let reply = match self.gather() {
+            Some(gather) => self.gathered(gather, now),
+            None => self.single(),
+        };
+        reply.or_else(|| (now >= self.deadline).then_some(Reply::TimedOut))
+    }
+
+    /// Returns the time of the next look at the job.
+    pub(crate) fn next_look(&self, now: Time) -> Time {
+        let mut next = self.deadline;
+        if self.gather().is_some() && self.answer_by > now {
+            next = next.min(self.answer_by);
+        }
+        let open = self.shards.iter().filter(|shard| shard.is_open());
+        open.map(|shard| shard.look_at).fold(next, Time::min)
+    }
+
+    pub(crate) fn summary(&self, now: Time) -> Summary {
+        Summary {
+            route: Some(self.route.name.clone()),
+            version: self.version,
+            shards: self.shards.len(),
+            calls: self.shards.iter().map(|shard| shard.tries).sum(),
+            hedges: self.hedges,
+            retries: self.retries,
+            elapsed: now.since(self.began),
+        }
+    }
+
+    fn gathered(&self, gather: Gather, now: Time) -> Option<Reply> {
+        let all = self.shards.len();
+        let needed = least_shards(all, gather.min_coverage);
+        let done = self.count(|state| matches!(state, ShardState::Done(_)));
+        let lost = self.count(|state| matches!(state, ShardState::Lost(_)));
+        if all - lost < needed {
+            return Some(self.refusal("too few shards can be served"));
+        }
+        let is_settled = done + lost == all;
+        if done >= needed && (is_settled || now >= self.answer_by) {
+            return Some(self.merged(gather, all - done));
+        }
+        None
+    }
+
+    fn merged(&self, gather: Gather, missing: usize) -> Reply {
+        let answers = || {
+            self.shards.iter().filter_map(|shard| match &shard.state {
+                ShardState::Done(answer) => Some(answer),
+                ShardState::Open | ShardState::Lost(_) => None,
+            })
+        };
+        let stamps: Vec<Bytes> = answers().filter_map(|a| a.stamp.clone()).collect();
+        let body = top_records(answers().map(|a| a.body.as_ref()), gather.top_k);
+        Reply::Merged {
+            stamps,
+            missing,
+            body,
+        }
+    }
+
+    fn single(&self) -> Option<Reply> {
+        match &self.shards.first()?.state {
+            ShardState::Open => None,
+            ShardState::Done(answer) | ShardState::Lost(Some(answer)) => {
+                Some(Reply::Answer(answer.clone()))
+            }
+            ShardState::Lost(None) => Some(self.refusal("no leaf served the request")),
+        }
+    }
+
+    /// Returns the reply to a request that cannot be served: it says "not run" only if no call can have
+    /// run.
+    fn refusal(&self, reason: &'static str) -> Reply {
+        if self.shards.iter().any(|shard| shard.runs > 0) {
+            return Reply::Failed(reason);
+        }
+        let was_asked = self.shards.iter().any(|shard| shard.tries > 0);
+        let retry_after = if was_asked { BUSY_RETRY } else { NO_LEAF_RETRY };
+        Reply::Rejected {
+            reason,
+            retry_after,
+        }
+    }
+
+    fn count<F>(&self, is: F) -> usize
+    where
+        F: Fn(&ShardState) -> bool,
+    {
+        self.shards.iter().filter(|shard| is(&shard.state)).count()
+    }
+}
+
+/// Returns the least number of `all` shards whose share is at or above `coverage`.
+pub(crate) fn least_shards(all: usize, coverage: f64) -> usize {
+    let least = (coverage * all as f64 - 1e-9).ceil().max(1.0);
+    (least as usize).min(all.max(1))
+}
--- /dev/null
+++ b/crates/gateway/src/admin.rs
@@ -0,0 +1,64 @@
+//! Readiness for the balancer, and metrics and the state dump for operators.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use compio::net::TcpListener;
+use futures_channel::oneshot;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use monsoondeal_node::http::{self, Body};
+
+use crate::event::{Event, EventSender, send};
+
+/// Type of the metrics in text form.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// Answers the balancer until the process ends.
+pub(crate) async fn listen_ready(
+    listener: TcpListener,
+    path: &'static str,
+    is_ready: Rc<Cell<bool>>,
+) {
+    http::listen(listener, move |request: Request<Incoming>| {
+        let found = request.uri().path() == path;
+        let status = match (found, is_ready.get()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        async move { http::respond(status, "text/plain", Vec::new()) }
+    })
+    .await;
+}
+
+/// Serves operators until the process ends.
+pub(crate) async fn listen(listener: TcpListener, events: EventSender) {
+    http::listen(listener, move |request| handle(request, events.clone())).await;
+}
+
+async fn handle(request: Request<Incoming>, events: EventSender) -> Response<Body> {
+    match request.uri().path() {
+        "/metrics" => {
+            let text = ask(&events, Event::Metrics).await.unwrap_or_default();
+            http::respond(StatusCode::OK, METRICS_TYPE, text.into_bytes())
+        }
+        "/state" => {
+            let state = ask(&events, Event::Dump).await.unwrap_or_default();
+            http::json(StatusCode::OK, &state)
+        }
+        path => {
+            let text = format!("no page '{path}'; there are /metrics and /state\n");
+            http::respond(StatusCode::NOT_FOUND, "text/plain", text.into_bytes())
+        }
+    }
+}
+
+async fn ask<T, F>(events: &EventSender, question: F) -> Option<T>
+where
+    F: FnOnce(oneshot::Sender<T>) -> Event,
+{
+    let (sender, receiver) = oneshot::channel();
+    send(events, question(sender));
+    receiver.await.ok()
+}
--- /dev/null
+++ b/crates/gateway/src/error.rs
@@ -0,0 +1,22 @@
+//! Errors of the gateway.
+
+use std::io;
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// `GatewayError` is why a gateway could not start.
+    #[derive(Debug)]
+    pub enum GatewayError {
+        /// A listening address could not be bound.
+        Bind(what: &'static str, addr: SocketAddr, source: io::Error) {
+            display("cannot listen for {what} on {addr}: {source}")
+            source(source)
+        }
+        /// The metrics could not be set up.
+        Metrics(text: String) {
+            display("cannot set up metrics: {text}")
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/event.rs
@@ -0,0 +1,75 @@
+//! What tasks tell the hub.
+
+use std::collections::HashSet;
+
+use bytes::Bytes;
+use futures_channel::{mpsc, oneshot};
+use hyper::{HeaderMap, Method, Uri};
+use monsoondeal_core::CallId;
+use monsoondeal_edge::{CallEnd, Config, EdgeSettings, LeafEntry, Name, Reply, Token};
+
+use crate::leafs::Connection;
+
+/// `Update` changes what the node believes of its surroundings.
+#[derive(Debug)]
+pub enum Update {
+    /// A version of the configuration.
+    Config(Box<Config>),
+    /// All leafs, after which only changes are told.
+    Leafs(Vec<LeafEntry>),
+    /// A leaf that is new or says something new.
+    Leaf(Box<LeafEntry>),
+    /// A leaf whose entry vanished.
+    LeafGone(Name),
+    /// The registry of leafs was out of reach.
+    RegistryLost,
+    /// All failure domains that are closed.
+    ClosedDomains(HashSet<Name>),
+    /// Settings of the direct path, read again.
+    Settings(EdgeSettings),
+    /// Number of nodes that share the leafs.
+    Nodes(usize),
+}
+
+/// Sender of updates.
+pub type UpdateSender = mpsc::UnboundedSender<Update>;
+
+/// A request of a caller.
+#[derive(Debug)]
+pub(crate) struct Inbound {
+    pub(crate) token: Token,
+    /// The caller's identity of this attempt.
+    pub(crate) id: Bytes,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    /// Header fields that go on to leafs.
+    pub(crate) headers: HeaderMap,
+    pub(crate) host: String,
+    pub(crate) patience: Option<std::time::Duration>,
+    pub(crate) body: Bytes,
+}
+
+/// A message to the hub.
+#[derive(Debug)]
+pub(crate) enum Event {
+    Request(Box<Inbound>, oneshot::Sender<Reply>),
+    /// The caller of a request has gone.
+    Gone(Token),
+    /// A call ended; its connection is returned if it can be used again.
+    CallEnded(CallId, CallEnd, Option<Connection>),
+    Update(Update),
+    /// A wish for the metrics in text form.
+    Metrics(oneshot::Sender<String>),
+    /// A wish for the state dump.
+    Dump(oneshot::Sender<serde_json::Value>),
+    /// A planned stop is wanted.
+    Stop,
+}
+
+/// Sender of events to the hub.
+pub(crate) type EventSender = mpsc::UnboundedSender<Event>;
+
+/// Sends an event. The hub outlives all other tasks, so a failure means that the process is ending.
+pub(crate) fn send(events: &EventSender, event: Event) {
+    let _ = events.unbounded_send(event);
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,413 @@
+//! Callers' connections.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use compio::time::sleep;
+use cyper_core::HyperStream;
+use futures_channel::oneshot;
+use futures_util::FutureExt;
+use futures_util::future::{Either, Shared, select};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use monsoondeal_edge::{Answer, Limits, Reply, Token};
+
+use crate::event::{Event, EventSender, Inbound, send};
+use crate::leafs::strip_connection_fields;
+use crate::settings::HeaderNames;
+
+/// Body of responses.
+type Body = Full<Bytes>;
+/// Most header fields of a request.
+const HEADER_FIELDS: usize = 100;
+/// Least buffer that the HTTP library works with, in bytes.
+const LEAST_BUFFER: usize = 8 * 1024;
+/// Time between two looks at whether a connection is idle for too long.
+const IDLE_LOOK: Duration = Duration::from_secs(1);
+
+/// What the front shares with the hub.
+#[derive(Clone, Debug)]
+pub(crate) struct FrontState {
+    pub(crate) names: Rc<HeaderNames>,
+    /// Limits of the configuration in force.
+    pub(crate) limits: Rc<Cell<Limits>>,
+    /// Set while the node stops: responses then close their connection.
+    pub(crate) closing: Rc<Cell<bool>>,
+    /// Open connections of callers.
+    pub(crate) open: Rc<Cell<usize>>,
+    /// Ends idle connections once it resolves.
+    pub(crate) close: Shared<oneshot::Receiver<()>>,
+    tokens: Rc<Cell<u64>>,
+}
+
+impl FrontState {
+    pub(crate) fn new(names: Rc<HeaderNames>, close: oneshot::Receiver<()>) -> Self {
+        Self {
+            names,
+            limits: Rc::new(Cell::new(Limits::default())),
+            closing: Rc::default(),
+            open: Rc::default(),
+            close: close.shared(),
+            tokens: Rc::default(),
+        }
+    }
+
+    fn next_token(&self) -> Token {
+        let token = Token(self.tokens.get());
+        self.tokens.set(token.0 + 1);
+        token
+    }
+}
+
+/// Accepts callers' connections until it is told to close.
+pub(crate) async fn listen(listener: TcpListener, state: FrontState, events: EventSender) {
+    loop {
+        let accept = pin!(listener.accept());
+        match select(accept, state.close.clone()).await {
+            Either::Left((Ok((stream, _)), _)) => {
+                let connection = serve(stream, state.clone(), events.clone());
+                compio::runtime::spawn(connection).detach();
+            }
+            Either::Left((Err(error), _)) => log::warn!("cannot accept a connection: {error}"),
+            Either::Right(_) => return,
+        }
+    }
+}
+
+/// What a connection is doing.
+#[derive(Debug)]
+struct Activity {
+    /// Whether a request is being served.
+    busy: Cell<bool>,
+    /// When the last response was handed over, or the connection opened.
+    idle_since: Cell<Instant>,
+    /// When the first byte of the head that is being read arrived.
+    head_since: Cell<Option<Instant>>,
+}
+
+impl Activity {
+    fn new() -> Self {
+        Self {
+            busy: Cell::new(false),
+            idle_since: Cell::new(Instant::now()),
+            head_since: Cell::new(None),
+        }
+    }
+
+    fn start(&self) {
+        self.busy.set(true);
+        self.head_since.set(None);
+    }
+
+    fn end(&self) {
+        self.busy.set(false);
+        self.idle_since.set(Instant::now());
+    }
+
+    /// Returns whether the connection has been idle, or slow to send a head, for too long.
+    fn is_expired(&self, limits: &Limits) -> bool {
+        if self.busy.get() {
+            return false;
+        }
+        match self.head_since.get() {
+            Some(since) => since.elapsed() > limits.head_timeout,
+            None => self.idle_since.get().elapsed() > limits.idle_timeout,
+        }
+    }
+}
+
+/// A stream that notes when bytes arrive between requests.
+struct Watched {
+    stream: HyperStream<TcpStream>,
+    activity: Rc<Activity>,
+}
+
+impl Read for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let activity = &self.activity;
+        if polled.is_ready() && !activity.busy.get() && activity.head_since.get().is_none() {
+            activity.head_since.set(Some(Instant::now()));
+        }
+        polled
+    }
+}
+
+impl Write for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// Counts a connection as open for as long as it lives.
+struct Open(Rc<Cell<usize>>);
+
+impl Open {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn serve(stream: TcpStream, state: FrontState, events: EventSender) {
+    let _open = Open::new(&state.open);
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("cannot set an option of a connection: {error}");
+    }
+    let activity = Rc::new(Activity::new());
+    let watched = Watched {
+        stream: HyperStream::new(stream),
+        activity: activity.clone(),
+    };
+    let service = service_fn(|request| {
+        activity.start();
+        let (state, events, activity) = (state.clone(), events.clone(), activity.clone());
+        async move {
+            let response = handle(request, &state, &events).await;
+            activity.end();
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let buffer = state.limits.get().head_bytes.max(LEAST_BUFFER);
+    let mut connection = pin!(
+        http1::Builder::new()
+            .max_buf_size(buffer)
+            .max_headers(HEADER_FIELDS)
+            .serve_connection(watched, service)
+    );
+    let mut close = state.close.clone();
+    let mut is_closing = false;
+    loop {
+        let look = pin!(sleep(IDLE_LOOK));
+        let end = if is_closing {
+            select(connection.as_mut(), Either::Left(look)).await
+        } else {
+            let wake = select(look, &mut close).map(|_| ());
+            select(connection.as_mut(), Either::Right(wake)).await
+        };
+        if let Either::Left((ended, _)) = end {
+            if let Err(error) = ended {
+                log::debug!("connection of a caller ended: {error}");
+            }
+            return;
+        }
+        if activity.is_expired(&state.limits.get()) && activity.head_since.get().is_some() {
+            return;
+        }
+        let is_expired = activity.is_expired(&state.limits.get());
+        if !is_closing && (is_expired || close.peek().is_some()) {
+            is_closing = true;
+            connection.as_mut().graceful_shutdown();
+        }
+    }
+}
+
+/// Tells the hub of a caller that goes away before its response.
+struct Waiting<'a> {
+    token: Token,
+    events: &'a EventSender,
+    is_done: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.is_done {
+            send(self.events, Event::Gone(self.token));
+        }
+    }
+}
+
+async fn handle(
+    request: Request<Incoming>,
+    state: &FrontState,
+    events: &EventSender,
+) -> Response<Body> {
+    let id = request.headers().get(&state.names.request_id).cloned();
+    let mut response = match read(request, state).await {
+        Ok(inbound) => match ask(inbound, events).await {
+            Some(reply) => render(reply, &state.names),
+            None => plain(StatusCode::BAD_GATEWAY, "the node is stopping"),
+        },
+        Err(response) => response,
+    };
+    if let Some(id) = id {
+        response
+            .headers_mut()
+            .insert(state.names.request_id.clone(), id);
+    }
+    if state.closing.get() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn ask(inbound: Inbound, events: &EventSender) -> Option<Reply> {
+    let mut waiting = Waiting {
+        token: inbound.token,
+        events,
+        is_done: false,
+    };
+    let (sender, receiver) = oneshot::channel();
+    send(events, Event::Request(Box::new(inbound), sender));
+    let reply = receiver.await.ok();
+    waiting.is_done = true;
+    reply
+}
+
+/// Reads a whole request, or returns the response to a malformed one.
+async fn read(request: Request<Incoming>, state: &FrontState) -> Result<Inbound, Response<Body>> {
+    let names = &state.names;
+    let limit = state.limits.get().body_bytes;
+    let (mut parts, body) = request.into_parts();
+    let Some(id) = parts.headers.get(&names.request_id) else {
+        let text = format!("header field {} is missing", names.request_id);
+        return Err(plain(StatusCode::BAD_REQUEST, &text));
+    };
+    let id = Bytes::copy_from_slice(id.as_bytes());
+    let host = host(&parts).ok_or_else(|| plain(StatusCode::BAD_REQUEST, "no host is named"))?;
+    let patience = patience(&parts, names).map_err(|text| plain(StatusCode::BAD_REQUEST, &text))?;
+    if body.size_hint().lower() > limit as u64 {
+        return Err(too_large(limit));
+    }
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(too_large(limit));
+        }
+        Err(_) => return Err(plain(StatusCode::BAD_REQUEST, "the body ended early")),
+    };
+    strip_connection_fields(&mut parts.headers);
+    parts.headers.remove(&names.deadline);
+    parts.headers.remove(&names.instance);
+    Ok(Inbound {
+        token: state.next_token(),
+        id,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        host,
+        patience,
+        body,
+    })
+}
+
+fn host(parts: &hyper::http::request::Parts) -> Option<String> {
+    let named = parts
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok());
+    named.or(parts.uri.host()).map(str::to_owned)
+}
+
+fn patience(
+    parts: &hyper::http::request::Parts,
+    names: &HeaderNames,
+) -> Result<Option<Duration>, String> {
+    let Some(value) = parts.headers.get(&names.deadline) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default().trim();
+    let millis = text
+        .parse()
+        .map_err(|_| format!("{} must be a whole number of milliseconds", names.deadline))?;
+    Ok(Some(Duration::from_millis(millis)))
+}
+
+fn too_large(limit: usize) -> Response<Body> {
+    let text = format!("the body must have at most {limit} bytes");
+    let mut response = plain(StatusCode::PAYLOAD_TOO_LARGE, &text);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
+fn plain(status: StatusCode, text: &str) -> Response<Body> {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{text}\n"))));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+fn render(reply: Reply, names: &HeaderNames) -> Response<Body> {
+    match reply {
+        Reply::Merged {
+            stamps,
+            missing,
+            body,
+        } => merged(&stamps, missing, body, names),
+        Reply::Answer(answer) => passed_on(answer),
+        Reply::Rejected {
+            reason,
+            retry_after,
+        } => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, reason);
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+            if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(RETRY_AFTER, seconds);
+            }
+            response
+        }
+        Reply::Failed(reason) => plain(StatusCode::BAD_GATEWAY, reason),
+        Reply::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+        Reply::NoRoute => plain(StatusCode::NOT_FOUND, "no route for this host and path"),
+    }
+}
+
+fn merged(stamps: &[Bytes], missing: usize, body: Bytes, names: &HeaderNames) -> Response<Body> {
+    let mut response = Response::new(Full::new(body));
+    let headers = response.headers_mut();
+    let list = stamps.join(&b", "[..]);
+    match HeaderValue::from_bytes(&list) {
+        Ok(list) => headers.insert(names.parts.clone(), list),
+        Err(error) => {
+            log::error!("signatures cannot be sent on: {error}");
+            return plain(StatusCode::BAD_GATEWAY, "a leaf's signature is malformed");
+        }
+    };
+    headers.insert(names.missing.clone(), HeaderValue::from(missing));
+    response
+}
+
+fn passed_on(answer: Answer) -> Response<Body> {
+    let mut response = Response::new(Full::new(answer.body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.headers_mut() = answer.headers;
+    response.headers_mut().remove(CONTENT_LENGTH);
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/hub.rs
@@ -0,0 +1,398 @@
+//! The hub: the task that owns the state machine.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use compio::runtime::{JoinHandle, spawn};
+use compio::time::{sleep, sleep_until};
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
+use monsoondeal_core::{CallId, Clock, LeafId, Time};
+use monsoondeal_edge::{Action, Edge, Inquiry, Removal, Reply, Send, Summary, Token};
+
+use crate::error::GatewayError;
+use crate::event::{Event, EventSender, Inbound, Update, send};
+use crate::front::FrontState;
+use crate::leafs::Connection;
+use crate::logs::{Logs, outcome};
+use crate::metrics::Metrics;
+use crate::settings::{GatewaySettings, HeaderNames, StopSettings};
+use crate::{admin, front, leafs};
+
+/// Signal that asks for a planned stop.
+const SIGTERM: i32 = 15;
+/// Most events handled before timers are looked at again.
+const EVENT_BATCH: usize = 64;
+/// Longest time without a look at timers.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+/// Time for the last responses to leave the process.
+const FLUSH: Duration = Duration::from_millis(100);
+/// Time between two looks at whether a stop is done.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// Runs a gateway until a planned stop. `updates` tells what the node believes of its surroundings.
+///
+/// # Errors
+///
+/// If it cannot start.
+pub async fn run(
+    settings: GatewaySettings,
+    mut updates: mpsc::UnboundedReceiver<Update>,
+) -> Result<(), GatewayError> {
+    let (events, inbox) = mpsc::unbounded();
+    // The signal must be blocked before any other thread starts, since threads inherit the mask; the
+    // task blocks it when it first runs.
+    spawn(wait_for_stop(events.clone())).detach();
+    sleep(Duration::from_millis(1)).await;
+
+    let front = bind("callers", settings.front).await?;
+    let readiness = bind("readiness", settings.readiness).await?;
+    let operators = bind("operators", settings.admin).await?;
+    let names = Rc::new(settings.headers.clone());
+    let (close, closed) = oneshot::channel();
+    let state = FrontState::new(names.clone(), closed);
+    let is_ready = Rc::new(Cell::new(false));
+    spawn(front::listen(front, state.clone(), events.clone())).detach();
+    spawn(admin::listen_ready(
+        readiness,
+        settings.ready_path,
+        is_ready.clone(),
+    ))
+    .detach();
+    spawn(admin::listen(operators, events.clone())).detach();
+    let sender = events.clone();
+    spawn(async move {
+        while let Some(update) = updates.next().await {
+            send(&sender, Event::Update(update));
+        }
+    })
+    .detach();
+    log::info!(
+        vm:% = settings.vm, domain:% = settings.domain,
+        callers:% = settings.front, operators:% = settings.admin;
+        "started"
+    );
+
+    let mut hub = Hub {
+        edge: Edge::new(settings.edge.clone()),
+        clock: Clock::start(),
+        events,
+        names,
+        front: state,
+        is_ready,
+        metrics: Metrics::new()?,
+        logs: Logs::default(),
+        requests: HashMap::new(),
+        calls: HashMap::new(),
+        idle: HashMap::new(),
+        stages: settings.stop,
+        stop: Stop::Running,
+        close: Some(close),
+    };
+    hub.serve(inbox).await;
+    sleep(FLUSH).await;
+    log::info!("stopped");
+    Ok(())
+}
+
+async fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|error| GatewayError::Bind(what, addr, error))
+}
+
+async fn wait_for_stop(events: EventSender) {
+    match compio::signal::unix::signal(SIGTERM).await {
+        Ok(()) => send(&events, Event::Stop),
+        Err(error) => log::error!("cannot wait for signals: {error}"),
+    }
+}
+
+/// How far a planned stop has come, and since when it is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stop {
+    /// No stop is wanted.
+    Running,
+    /// The balancer is to notice; callers are still accepted.
+    Leaving(Time),
+    /// Only requests under way are served.
+    Draining(Time),
+}
+
+/// A caller's request that waits for its reply.
+struct Caller {
+    inbound: Rc<Inbound>,
+    sender: oneshot::Sender<Reply>,
+}
+
+struct Hub {
+    edge: Edge,
+    clock: Clock,
+    events: EventSender,
+    names: Rc<HeaderNames>,
+    front: FrontState,
+    is_ready: Rc<Cell<bool>>,
+    metrics: Metrics,
+    logs: Logs,
+    requests: HashMap<Token, Caller>,
+    /// Calls under way. Dropping a task closes the call's connection.
+    calls: HashMap<CallId, (LeafId, JoinHandle<()>)>,
+    /// Connections without a call, by leaf; the one used last stands last.
+    idle: HashMap<LeafId, Vec<Connection>>,
+    stages: StopSettings,
+    stop: Stop,
+    /// Ends the listener and idle connections when it is dropped.
+    close: Option<oneshot::Sender<()>>,
+}
+
+impl Hub {
+    async fn serve(&mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
+        while !self.is_done() {
+            if let Some(event) = self.next_event(&mut inbox).await {
+                self.on_event(event);
+                self.drain_inbox(&mut inbox);
+            }
+            self.step(|edge, now, out| edge.tick(now, out));
+            self.advance_stop();
+        }
+        self.step(|edge, now, out| edge.stop(now, out));
+    }
+
+    /// Waits for an event, or returns `None` when a timer is due.
+    async fn next_event(&self, inbox: &mut mpsc::UnboundedReceiver<Event>) -> Option<Event> {
+        let now = self.clock.now();
+        let longest = match self.stop {
+            Stop::Running => LONGEST_WAIT,
+            Stop::Leaving(_) | Stop::Draining(_) => STOP_LOOK,
+        };
+        let wake = self.edge.next_wake().unwrap_or(Time::MAX);
+        let wake = wake.min(now + longest);
+        let timer = std::pin::pin!(sleep_until(self.clock.instant(wake)));
+        match select(inbox.next(), timer).await {
+            Either::Left((event, _)) => event,
+            Either::Right(_) => None,
+        }
+    }
+
+    fn drain_inbox(&mut self, inbox: &mut mpsc::UnboundedReceiver<Event>) {
+        for _ in 0..EVENT_BATCH {
+            match inbox.try_recv() {
+                Ok(event) => self.on_event(event),
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Request(inbound, sender) => self.on_request(*inbound, sender),
+            Event::Gone(token) => {
+                self.requests.remove(&token);
+                self.step(|edge, now, out| edge.caller_gone(token, now, out));
+            }
+            Event::CallEnded(call, end, connection) => {
+                if let Some((leaf, _)) = self.calls.remove(&call)
+                    && let Some(connection) = connection
+                {
+                    self.keep(leaf, connection);
+                }
+                self.step(|edge, now, out| edge.call_ended(call, end, now, out));
+            }
+            Event::Update(update) => self.on_update(update),
+            Event::Metrics(sender) => {
+                let _ = sender.send(self.metrics.export(self.edge.counts()));
+            }
+            Event::Dump(sender) => {
+                let _ = sender.send(self.dump());
+            }
+            Event::Stop => self.start_stop(),
+        }
+    }
+
+    fn on_request(&mut self, inbound: Inbound, sender: oneshot::Sender<Reply>) {
+        let inbound = Rc::new(inbound);
+        let caller = Caller {
+            inbound: inbound.clone(),
+            sender,
+        };
+        self.requests.insert(inbound.token, caller);
+        let inquiry = Inquiry {
+            token: inbound.token,
+            host: &inbound.host,
+            path: inbound.uri.path(),
+            patience: inbound.patience,
+        };
+        self.step(|edge, now, out| edge.request(&inquiry, now, out));
+    }
+
+    fn on_update(&mut self, update: Update) {
+        match update {
+            Update::Config(config) => {
+                let (version, limits) = (config.version, config.limits);
+                let routes = config.route_count();
+                if self.edge.set_config(*config) {
+                    self.front.limits.set(limits);
+                    log::info!(version, routes; "configuration in force");
+                }
+            }
+            Update::Leafs(entries) => {
+                log::info!(leafs = entries.len(); "leafs listed");
+                self.step(|edge, now, out| edge.replace_leafs(entries, now, out));
+            }
+            Update::Leaf(entry) => {
+                log::info!(
+                    leaf:% = entry.name, service:% = entry.service, addr:% = entry.addr,
+                    draining = entry.draining, warmup_ms = entry.warmup.as_millis() as u64;
+                    "leaf changed"
+                );
+                self.step(|edge, now, out| edge.upsert_leaf(*entry, now, out));
+            }
+            Update::LeafGone(name) => {
+                let mut removal = Removal::Unknown;
+                self.step(|edge, now, out| removal = edge.remove_leaf(&name, now, out));
+                log::info!(leaf:% = name, removal:? = removal; "leaf entry vanished");
+            }
+            Update::RegistryLost => {
+                let now = self.clock.now();
+                self.edge.doubt_registry(now);
+            }
+            Update::ClosedDomains(domains) => {
+                log::info!(domains:? = domains; "failure domains closed");
+                self.edge.close_domains(domains);
+            }
+            Update::Settings(settings) => {
+                log::info!(settings:? = settings; "settings reloaded");
+                self.edge.set_settings(settings);
+            }
+            Update::Nodes(nodes) => {
+                if nodes != self.edge.nodes() {
+                    log::info!(nodes; "number of nodes");
+                }
+                self.edge.set_nodes(nodes);
+            }
+        }
+        self.set_ready();
+    }
+
+    fn set_ready(&mut self) {
+        let is_ready = self.edge.is_ready() && self.stop == Stop::Running;
+        if self.is_ready.replace(is_ready) != is_ready {
+            log::info!(ready = is_ready; "readiness changed");
+        }
+    }
+
+    fn start_stop(&mut self) {
+        if self.stop != Stop::Running {
+            return;
+        }
+        log::info!(requests = self.edge.open_requests(); "stopping");
+        self.stop = Stop::Leaving(self.clock.now());
+        self.front.closing.set(true);
+        self.set_ready();
+    }
+
+    fn advance_stop(&mut self) {
+        if let Stop::Leaving(since) = self.stop
+            && self.clock.now().since(since) >= self.stages.accept
+        {
+            self.stop = Stop::Draining(since);
+            self.close = None;
+        }
+    }
+
+    /// Returns whether a planned stop is done or has taken too long.
+    fn is_done(&self) -> bool {
+        let Stop::Draining(since) = self.stop else {
+            return false;
+        };
+        let is_idle = self.front.open.get() == 0 && self.edge.open_requests() == 0;
+        is_idle || self.clock.now().since(since) >= self.stages.limit
+    }
+
+    fn step<F>(&mut self, act: F)
+    where
+        F: FnOnce(&mut Edge, Time, &mut Vec<Action>),
+    {
+        let mut out = Vec::new();
+        let now = self.clock.now();
+        act(&mut self.edge, now, &mut out);
+        for action in out {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send(call) => self.call(call),
+            Action::Abandon(call) => {
+                self.calls.remove(&call);
+            }
+            Action::Reply(token, reply, summary) => self.reply(token, reply, &summary),
+            Action::Retire(leaf) => {
+                self.idle.remove(&leaf);
+            }
+            Action::Note(token, note) => {
+                if let Some(caller) = self.requests.get(&token) {
+                    let id = String::from_utf8_lossy(&caller.inbound.id);
+                    self.logs.note(&id, &note);
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, call: Send) {
+        let Some(caller) = self.requests.get(&call.token) else {
+            return;
+        };
+        let (id, leaf) = (call.call, call.leaf);
+        let idle = self.idle.get_mut(&leaf).and_then(|list| {
+            list.retain(|connection| !connection.is_spent());
+            let at = list.iter().rposition(|c| c.is_usable(call.once))?;
+            Some(list.remove(at))
+        });
+        let task = leafs::carry(
+            idle,
+            call,
+            caller.inbound.clone(),
+            self.names.clone(),
+            self.events.clone(),
+        );
+        self.calls.insert(id, (leaf, spawn(task)));
+    }
+
+    fn keep(&mut self, leaf: LeafId, connection: Connection) {
+        if self.edge.directory().is_usable(leaf) {
+            self.idle.entry(leaf).or_default().push(connection);
+        }
+    }
+
+    fn reply(&mut self, token: Token, reply: Reply, summary: &Summary) {
+        let Some(caller) = self.requests.remove(&token) else {
+            return;
+        };
+        let id = String::from_utf8_lossy(&caller.inbound.id);
+        self.metrics.on_reply(outcome(&reply).0, summary.elapsed);
+        self.logs.reply(&id, &reply, summary);
+        let _ = caller.sender.send(reply);
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "ready": self.is_ready.get(),
+            "config": self.edge.config().map(|config| config.version),
+            "routes": self.edge.config().map_or(0, |config| config.route_count()),
+            "leafs": self.edge.directory().len(),
+            "nodes": self.edge.nodes(),
+            "requests": self.edge.open_requests(),
+            "calls": self.edge.open_calls(),
+            "idle_connections": self.idle.values().map(Vec::len).sum::<usize>(),
+            "caller_connections": self.front.open.get(),
+            "counts": self.edge.counts(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/leafs.rs
@@ -0,0 +1,237 @@
+//! Calls to leafs. A task carries one call; connections go back to the hub between calls.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cyper_core::HyperStream;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+use monsoondeal_edge::{Answer, CallEnd, Send};
+
+use crate::dial;
+use crate::event::{Event, EventSender, Inbound, send};
+use crate::settings::HeaderNames;
+
+/// Largest answer of a leaf, in bytes.
+const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
+/// Longest time to open a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// How long a connection may be idle if the leaf does not say.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// Part of the leaf's idle timeout within which a connection is used again.
+const IDLE_PART: f64 = 0.8;
+/// How long a connection may have been idle to carry a call that may run only once. A leaf that closes
+/// an idle connection just then would leave the outcome unknown.
+const ONCE_IDLE_LIMIT: Duration = Duration::from_millis(600);
+
+/// Header fields that concern one connection only.
+const CONNECTION_FIELDS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "upgrade",
+    "expect",
+];
+
+/// `Connection` is an open connection to a leaf without a call on it.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    idle_since: Instant,
+    idle_limit: Duration,
+}
+
+impl Connection {
+    /// Returns whether the connection may carry a call. `once` says that the call may run only once.
+    pub(crate) fn is_usable(&self, once: bool) -> bool {
+        let idle = self.idle_since.elapsed();
+        let limit = if once {
+            self.idle_limit.min(ONCE_IDLE_LIMIT)
+        } else {
+            self.idle_limit
+        };
+        idle < limit && self.sender.is_ready()
+    }
+
+    /// Returns whether the connection is of no use any more.
+    pub(crate) fn is_spent(&self) -> bool {
+        !self.is_usable(false)
+    }
+}
+
+/// Removes the header fields that concern one connection only.
+pub(crate) fn strip_connection_fields(headers: &mut HeaderMap) {
+    let listed: Vec<String> = headers
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in listed {
+        headers.remove(name.as_str());
+    }
+    for name in CONNECTION_FIELDS {
+        headers.remove(name);
+    }
+    headers.remove(TRANSFER_ENCODING);
+    headers.remove(CONTENT_LENGTH);
+}
+
+/// Carries a call out and tells the hub how it ended.
+pub(crate) async fn carry(
+    idle: Option<Connection>,
+    call: Send,
+    inbound: Rc<Inbound>,
+    names: Rc<HeaderNames>,
+    events: EventSender,
+) {
+    let (connection, end) = exchange(idle, &call, &inbound, &names).await;
+    send(&events, Event::CallEnded(call.call, end, connection));
+}
+
+async fn exchange(
+    idle: Option<Connection>,
+    call: &Send,
+    inbound: &Inbound,
+    names: &HeaderNames,
+) -> (Option<Connection>, CallEnd) {
+    let started = Instant::now();
+    let Some(mut request) = request(call, inbound, names, Duration::ZERO) else {
+        return (idle, CallEnd::Unsent);
+    };
+    // An idle connection that the leaf has closed gives the request back unsent.
+    if let Some(mut connection) = idle {
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return read(connection.sender, response, inbound, names).await,
+            Err(mut error) => match error.take_message() {
+                Some(unsent) => request = unsent,
+                None => return (None, CallEnd::Broken),
+            },
+        }
+    }
+    let Some(mut sender) = open(call).await else {
+        return (None, CallEnd::Unsent);
+    };
+    if let Some(budget) = budget(call, names, started.elapsed()) {
+        request.headers_mut().insert(names.deadline.clone(), budget);
+    }
+    match sender.try_send_request(request).await {
+        Ok(response) => read(sender, response, inbound, names).await,
+        Err(mut error) => match error.take_message() {
+            Some(_) => (None, CallEnd::Unsent),
+            None => (None, CallEnd::Broken),
+        },
+    }
+}
+
+async fn open(call: &Send) -> Option<SendRequest<Full<Bytes>>> {
+    let limit = CONNECT_LIMIT.min(call.budget);
+    let stream = dial::connect(call.addr, limit).await.ok()?;
+    let (sender, connection) = handshake(HyperStream::new(stream)).await.ok()?;
+    compio::runtime::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to a leaf ended: {error}");
+        }
+    })
+    .detach();
+    Some(sender)
+}
+
+/// Returns how long the leaf may work on a call, `elapsed` after the call began.
+fn budget(call: &Send, names: &HeaderNames, elapsed: Duration) -> Option<HeaderValue> {
+    debug_assert!(!names.deadline.as_str().is_empty());
+    let left = call.budget.saturating_sub(elapsed).as_millis().max(1);
+    HeaderValue::from_str(&left.to_string()).ok()
+}
+
+fn request(
+    call: &Send,
+    inbound: &Inbound,
+    names: &HeaderNames,
+    elapsed: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let path = inbound.uri.path_and_query()?.as_str();
+    let mut request = Request::new(Full::new(inbound.body.clone()));
+    *request.method_mut() = inbound.method.clone();
+    *request.uri_mut() = path.parse::<Uri>().ok()?;
+    *request.headers_mut() = inbound.headers.clone();
+    let headers = request.headers_mut();
+    headers.insert(names.deadline.clone(), budget(call, names, elapsed)?);
+    let instance = HeaderValue::from_str(&call.instance).ok()?;
+    headers.insert(names.instance.clone(), instance);
+    Some(request)
+}
+
+async fn read(
+    sender: SendRequest<Full<Bytes>>,
+    response: Response<hyper::body::Incoming>,
+    inbound: &Inbound,
+    names: &HeaderNames,
+) -> (Option<Connection>, CallEnd) {
+    let (parts, body) = response.into_parts();
+    let (status, headers) = (parts.status, parts.headers);
+    let Ok(body) = Limited::new(body, ANSWER_LIMIT).collect().await else {
+        return (None, CallEnd::Broken);
+    };
+    let echo = headers.get(&names.request_id);
+    if echo.is_some_and(|echo| echo.as_bytes() != inbound.id.as_ref()) {
+        log::warn!("a leaf answered with the identity of another request");
+        return (None, CallEnd::Broken);
+    }
+    let connection = Connection {
+        idle_limit: idle_limit(&headers),
+        idle_since: Instant::now(),
+        sender,
+    };
+    let connection = (!says_close(&headers)).then_some(connection);
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return (None, CallEnd::Misdirected);
+    }
+    if headers.contains_key(&names.not_run) {
+        return (connection, CallEnd::Refused);
+    }
+    let Some(stamp) = headers.get(&names.stamp) else {
+        return (None, CallEnd::Broken);
+    };
+    if headers.contains_key(CONTENT_ENCODING) {
+        return (None, CallEnd::Broken);
+    }
+    let stamp = Bytes::copy_from_slice(stamp.as_bytes());
+    let mut headers = headers;
+    strip_connection_fields(&mut headers);
+    let answer = Answer {
+        status: status.as_u16(),
+        headers,
+        stamp: Some(stamp),
+        body: body.to_bytes(),
+    };
+    (connection, CallEnd::Answer(answer))
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.to_ascii_lowercase().contains("close"))
+}
+
+/// Returns how long a connection may be idle, by the leaf's `Keep-Alive` field.
+fn idle_limit(headers: &HeaderMap) -> Duration {
+    let field = headers.get("keep-alive").and_then(|v| v.to_str().ok());
+    let seconds = field
+        .into_iter()
+        .flat_map(|value| value.split(','))
+        .find_map(|item| item.trim().strip_prefix("timeout=")?.parse::<u32>().ok());
+    seconds.map_or(IDLE_LIMIT, |seconds| {
+        Duration::from_secs(u64::from(seconds)).mul_f64(IDLE_PART)
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! The direct path as a daemon: tasks that own sockets around one [`Edge`](monsoondeal_edge::Edge).
+//!
+//! One task, the hub, owns the state machine. `front` serves callers, `leafs` carries calls to leafs,
+//! `admin` serves readiness, metrics and the state dump. What the node believes of its surroundings
+//! arrives as [`Update`]s from whoever knows the platform.
+
+#![warn(missing_docs)]
+
+mod admin;
+mod dial;
+mod error;
+mod event;
+mod front;
+mod hub;
+mod leafs;
+mod logs;
+mod metrics;
+mod settings;
+
+pub use dial::{connect, keep_alive};
+pub use error::GatewayError;
+pub use event::{Update, UpdateSender};
+pub use hub::run;
+pub use settings::{GatewaySettings, HeaderNames, StopSettings};
--- /dev/null
+++ b/crates/gateway/src/logs.rs
@@ -0,0 +1,102 @@
+//! Log lines about requests, bounded in number.
+
+use std::time::{Duration, Instant};
+
+use monsoondeal_edge::{Note, Reply, Summary};
+
+/// Most lines about requests in one span.
+const LINES: u32 = 400;
+/// The span.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// `Logs` writes a line for each decision on a request, up to a rate; what is left out is counted.
+#[derive(Debug)]
+pub(crate) struct Logs {
+    since: Instant,
+    written: u32,
+    left_out: u32,
+}
+
+impl Default for Logs {
+    fn default() -> Self {
+        Self {
+            since: Instant::now(),
+            written: 0,
+            left_out: 0,
+        }
+    }
+}
+
+impl Logs {
+    fn admit(&mut self) -> bool {
+        if self.since.elapsed() >= SPAN {
+            if self.left_out > 0 {
+                log::warn!(lines = self.left_out; "lines about requests were left out");
+            }
+            *self = Self::default();
+        }
+        if self.written >= LINES {
+            self.left_out += 1;
+            return false;
+        }
+        self.written += 1;
+        true
+    }
+
+    /// Writes how a request was answered.
+    pub(crate) fn reply(&mut self, id: &str, reply: &Reply, summary: &Summary) {
+        if !self.admit() {
+            return;
+        }
+        let route = summary.route.as_deref().unwrap_or("");
+        let (outcome, detail) = outcome(reply);
+        let detail = detail.as_str();
+        log::info!(
+            id, route, outcome, detail,
+            config = summary.version,
+            shards = summary.shards,
+            calls = summary.calls,
+            hedges = summary.hedges,
+            retries = summary.retries,
+            micros = summary.elapsed.as_micros() as u64;
+            "request answered"
+        );
+    }
+
+    /// Writes a decision on a request under way.
+    pub(crate) fn note(&mut self, id: &str, note: &Note) {
+        if !self.admit() {
+            return;
+        }
+        match note {
+            Note::Hedged {
+                service,
+                leaf,
+                after,
+            } => {
+                let micros = after.as_micros() as u64;
+                log::info!(id, service:% = service, leaf:% = leaf, micros; "call hedged");
+            }
+            Note::Retried { service, cause } => {
+                log::info!(id, service:% = service, cause; "call retried");
+            }
+            Note::Lost { service, cause } => {
+                log::info!(id, service:% = service, cause; "shard lost");
+            }
+        }
+    }
+}
+
+/// Returns the outcome of a reply, and its detail.
+pub(crate) fn outcome(reply: &Reply) -> (&'static str, String) {
+    match reply {
+        Reply::Merged { missing: 0, .. } => ("complete", String::new()),
+        Reply::Merged { missing, .. } => ("partial", format!("{missing} shards left out")),
+        Reply::Answer(answer) if answer.is_success() => ("answered", String::new()),
+        Reply::Answer(answer) => ("leaf_failed", format!("status {}", answer.status)),
+        Reply::Rejected { reason, .. } => ("rejected", (*reason).to_owned()),
+        Reply::Failed(reason) => ("failed", (*reason).to_owned()),
+        Reply::TimedOut => ("timed_out", String::new()),
+        Reply::NoRoute => ("no_route", String::new()),
+    }
+}
--- a/crates/limit/src/budget.rs
+++ b/crates/limit/src/budget.rs
@@ -17,10 +17,15 @@
 impl Budget {
     /// Creates a budget with a full reserve.
     pub fn new(ratio: f64, reserve: f64) -> Self {
+        Self::with_tokens(ratio, reserve, reserve)
+    }
+
+    /// Creates a budget with a part of its reserve.
+    pub fn with_tokens(ratio: f64, reserve: f64, tokens: f64) -> Self {
         Self {
             ratio,
             reserve,
-            tokens: reserve,
+            tokens: tokens.clamp(0.0, reserve),
         }
     }
 
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -40,10 +40,10 @@
 }
 
 /// Body of responses.
-pub(crate) type Body = Full<Bytes>;
+pub type Body = Full<Bytes>;
 
 /// Accepts connections and serves each with `handler` until the process ends.
-pub(crate) async fn listen<F, R>(listener: TcpListener, handler: F)
+pub async fn listen<F, R>(listener: TcpListener, handler: F)
 where
     F: Fn(Request<Incoming>) -> R + 'static,
     R: Future<Output = Response<Body>> + 'static,
@@ -78,7 +78,7 @@
 }
 
 /// Returns a response with a JSON body.
-pub(crate) fn json<T>(status: StatusCode, value: &T) -> Response<Body>
+pub fn json<T>(status: StatusCode, value: &T) -> Response<Body>
 where
     T: Serialize,
 {
@@ -87,7 +87,7 @@
 }
 
 /// Returns a response with a body of the given type.
-pub(crate) fn respond(status: StatusCode, kind: &str, body: Vec<u8>) -> Response<Body> {
+pub fn respond(status: StatusCode, kind: &str, body: Vec<u8>) -> Response<Body> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
     if let Ok(kind) = kind.parse() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,7 +16,7 @@
 mod error;
 pub mod event;
 mod frame;
-mod http;
+pub mod http;
 mod hub;
 mod leafs;
 mod links;
--- a/programs/monsoondeal/src/args.rs
+++ b/programs/monsoondeal/src/args.rs
@@ -25,6 +25,8 @@
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
     },
+    /// Runs a node on the platform until SIGTERM, with the settings file that the platform names
+    Edge,
     /// Checks a node's settings file and prints all findings
     Check {
         /// Settings file, JSON with comments
--- a/programs/monsoondeal/src/main.rs
+++ b/programs/monsoondeal/src/main.rs
@@ -6,6 +6,7 @@
 mod args;
 mod check;
 mod ctl;
+mod edge;
 mod moves;
 mod node;
 mod report;
@@ -21,6 +22,7 @@
     let args = Args::parse();
     match args.command {
         Command::Node { config } => node::run(&config),
+        Command::Edge => edge::run(),
         Command::Check { file, json } => check::run(&file, json),
         Command::Ctl(ctl) => ctl::run(ctl),
         Command::Completion { shell } => {
