Report read errors of streams: a reset body without a length looked complete

Cause: the runtime's stream adapter drops the error of a read and reads again, which reports the end of the stream. Ruled out: late answers and hedges, since neither was under way in the trace.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -11,10 +11,9 @@
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
 use compio::time::sleep;
-use cyper_core::HyperStream;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
-use futures_util::future::{Either, Shared, select};
+use futures_util::future::{Either, Shared, pending, select};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
@@ -23,6 +22,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use monsoondeal_edge::{Answer, Limits, Reply, Token};
+use monsoondeal_node::stream::Stream;
 
 use crate::event::{Event, EventSender, Inbound, send};
 use crate::leafs::strip_connection_fields;
@@ -130,7 +130,7 @@
 
 /// A stream that notes when bytes arrive between requests.
 struct Watched {
-    stream: HyperStream<TcpStream>,
+    stream: Stream,
     activity: Rc<Activity>,
 }
 
@@ -190,7 +190,7 @@
     }
     let activity = Rc::new(Activity::new());
     let watched = Watched {
-        stream: HyperStream::new(stream),
+        stream: Stream::new(stream),
         activity: activity.clone(),
     };
     let service = service_fn(|request| {
@@ -209,28 +209,35 @@
             .max_headers(HEADER_FIELDS)
             .serve_connection(watched, service)
     );
-    let mut close = state.close.clone();
-    let mut is_closing = false;
+    // Polled only until it resolves.
+    let mut close = Some(state.close.clone());
     loop {
         let look = pin!(sleep(IDLE_LOOK));
-        let end = if is_closing {
-            select(connection.as_mut(), Either::Left(look)).await
-        } else {
-            let wake = select(look, &mut close).map(|_| ());
-            select(connection.as_mut(), Either::Right(wake)).await
-        };
-        if let Either::Left((ended, _)) = end {
-            if let Err(error) = ended {
-                log::debug!("connection of a caller ended: {error}");
+        let told = pin!(async {
+            match close.as_mut() {
+                Some(close) => drop(close.await),
+                None => pending().await,
             }
-            return;
+        });
+        let wake = select(look, told);
+        let is_told = match select(connection.as_mut(), wake).await {
+            Either::Left((ended, _)) => {
+                if let Err(error) = ended {
+                    log::debug!("connection of a caller ended: {error}");
+                }
+                return;
+            }
+            Either::Right((Either::Left(_), _)) => false,
+            Either::Right((Either::Right(_), _)) => true,
+        };
+        if is_told {
+            close = None;
         }
-        if activity.is_expired(&state.limits.get()) && activity.head_since.get().is_some() {
+        let is_expired = activity.is_expired(&state.limits.get());
+        if is_expired && activity.head_since.get().is_some() {
             return;
         }
-        let is_expired = activity.is_expired(&state.limits.get());
-        if !is_closing && (is_expired || close.peek().is_some()) {
-            is_closing = true;
+        if is_told || is_expired {
             connection.as_mut().graceful_shutdown();
         }
     }
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -4,12 +4,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cyper_core::HyperStream;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use monsoondeal_edge::{Answer, CallEnd, Send};
+use monsoondeal_node::stream::Stream;
 
 use crate::dial;
 use crate::event::{Event, EventSender, Inbound, send};
@@ -135,7 +135,7 @@
 async fn open(call: &Send) -> Option<SendRequest<Full<Bytes>>> {
     let limit = CONNECT_LIMIT.min(call.budget);
     let stream = dial::connect(call.addr, limit).await.ok()?;
-    let (sender, connection) = handshake(HyperStream::new(stream)).await.ok()?;
+    let (sender, connection) = handshake(Stream::new(stream)).await.ok()?;
     compio::runtime::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to a leaf ended: {error}");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,4 +21,5 @@
 pub use error::GatewayError;
 pub use event::{Update, UpdateSender};
 pub use hub::run;
+pub use monsoondeal_node::stream::Stream;
 pub use settings::{GatewaySettings, HeaderNames, StopSettings};
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -16,6 +16,8 @@
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
 
+use crate::stream::Stream;
+
 /// Longest time for a peer to send the head of a request.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
 /// Most header fields of a request.
@@ -71,7 +73,7 @@
         .timer(CompioTimer)
         .header_read_timeout(HEAD_LIMIT)
         .max_headers(HEADER_FIELDS)
-        .serve_connection(HyperStream::new(stream), service);
+        .serve_connection(Stream::new(stream), service);
     if let Err(error) = pin!(connection).await {
         log::debug!("connection ended: {error}");
     }
--- a/crates/node/src/leafs.rs
+++ b/crates/node/src/leafs.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use compio::net::TcpStream;
 use compio::time::timeout;
-use cyper_core::HyperStream;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -22,6 +21,7 @@
 
 use crate::event::{Event, EventSender, send};
 use crate::http::header;
+use crate::stream::Stream;
 
 /// Largest answer of a leaf, in bytes.
 const ANSWER_LIMIT: usize = 1024 * 1024;
@@ -106,7 +106,7 @@
         .ok()?
         .ok()?;
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = handshake(HyperStream::new(stream)).await.ok()?;
+    let (sender, connection) = handshake(Stream::new(stream)).await.ok()?;
     let (leaf, events) = (call.leaf, events.clone());
     compio::runtime::spawn(async move {
         let _ = connection.await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 mod metrics;
 mod peers;
 pub mod store;
+pub mod stream;
 
 pub use error::NodeError;
 pub use hub::run;
