--- /dev/null
+++ b/crates/edge/tests/directory.rs
@@ -0,0 +1,115 @@
+//! Which leafs may get new work.
+
+mod common;
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use common::leaf;
+use monsoondeal_core::Time;
+use monsoondeal_edge::{Directory, LeafEntry, Name, Removal};
+use rstest::rstest;
+
+const NOW: Time = Time::from_millis(10_000);
+
+fn directory(count: usize) -> Directory {
+    let mut directory = Directory::default();
+    let leafs = (0..count).map(|at| leaf(&format!("l{at}"), "s")).collect();
+    assert!(directory.replace(leafs, NOW).is_empty());
+    directory
+}
+
+#[test]
+fn usable_leaves_out_draining_and_closed_domains() {
+    let mut directory = directory(2);
+    let draining = LeafEntry {
+        draining: true,
+        ..leaf("l0", "s")
+    };
+    directory.upsert(draining, NOW);
+    assert_eq!(directory.usable("s").len(), 1);
+    directory.close_domains(HashSet::from([Name::from("a")]));
+    assert!(directory.usable("s").is_empty());
+    directory.close_domains(HashSet::new());
+    assert_eq!(directory.usable("s").len(), 1);
+}
+
+#[test]
+fn remove_single_leaf_retires_at_once() {
+    let mut directory = directory(10);
+    let removal = directory.remove("l3", NOW);
+    assert!(matches!(removal, Removal::Retired(_)));
+    assert_eq!(directory.usable("s").len(), 9);
+    assert_eq!(directory.remove("l3", NOW), Removal::Unknown);
+}
+
+#[rstest]
+#[case::many_at_once(false)]
+#[case::after_an_outage(true)]
+fn remove_in_doubt_holds_living_leafs(#[case] outage: bool) {
+    let mut directory = directory(10);
+    let vanished: Vec<String> = if outage {
+        directory.doubt(NOW);
+        vec!["l0".to_owned()]
+    } else {
+        (0..10).map(|at| format!("l{at}")).collect()
+    };
+    for name in &vanished {
+        directory.remove(name, NOW);
+    }
+    let held = directory.next_expiry().expect("a leaf is held");
+    // Entries of living leafs return within two seconds; drained ones get nothing after three.
+    assert!(held >= NOW + Duration::from_secs(2) && held < NOW + Duration::from_millis(2_800));
+
+    let last = vanished.last().expect("a leaf vanished");
+    directory.upsert(leaf(last, "s"), NOW + Duration::from_secs(2));
+    directory.expire(NOW + Duration::from_millis(2_800));
+    let usable = directory.usable("s");
+    let names: Vec<&str> = usable
+        .iter()
+        .filter_map(|id| directory.entry(*id).map(|entry| &*entry.name))
+        .collect();
+    assert!(names.contains(&last.as_str()));
+    for name in &vanished[..vanished.len() - 1] {
+        let was_retired = !names.contains(&name.as_str());
+        assert!(was_retired, "{name} is still used");
+    }
+}
+
+#[rstest]
+#[case::same_incarnation(1, false)]
+#[case::born_again(2, true)]
+fn upsert_incarnation(#[case] born: u64, #[case] replaced: bool) {
+    let mut directory = directory(1);
+    let entry = LeafEntry {
+        born,
+        ..leaf("l0", "s")
+    };
+    assert_eq!(directory.upsert(entry, NOW).is_some(), replaced);
+    assert_eq!(directory.usable("s").len(), 1);
+}
+
+#[test]
+fn upsert_of_an_older_incarnation_changes_nothing() {
+    let mut directory = directory(0);
+    let young = LeafEntry {
+        born: 5,
+        ..leaf("l0", "s")
+    };
+    let old = LeafEntry {
+        born: 4,
+        draining: true,
+        ..leaf("l0", "s")
+    };
+    directory.upsert(young, NOW);
+    assert_eq!(directory.upsert(old, NOW), None);
+    assert_eq!(directory.usable("s").len(), 1);
+}
+
+#[test]
+fn replace_drops_what_is_not_listed() {
+    let mut directory = directory(10);
+    let listed = (1..10).map(|at| leaf(&format!("l{at}"), "s")).collect();
+    assert_eq!(directory.replace(listed, NOW).len(), 1);
+    assert_eq!(directory.len(), 9);
+}
--- /dev/null
+++ b/crates/edge/tests/serve.rs
@@ -0,0 +1,285 @@
+//! Requests from their arrival to the reply.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Node, config, failure, fan_out, good, leaf, shard, single};
+use monsoondeal_edge::{CallEnd, LeafEntry, Repeat, Reply};
+use rstest::rstest;
+
+fn replicas(shards: usize) -> Vec<LeafEntry> {
+    (0..shards)
+        .flat_map(|at| {
+            let service = shard(at);
+            ["a", "b"].map(|replica| leaf(&format!("{service}-{replica}"), &service))
+        })
+        .collect()
+}
+
+fn two_leafs() -> Vec<LeafEntry> {
+    vec![leaf("one", "s"), leaf("two", "s")]
+}
+
+fn query_node(shards: usize, min_coverage: f64) -> Node {
+    let route = fan_out("q", shards, min_coverage);
+    Node::new(config(1, vec![route], 6), replicas(shards))
+}
+
+fn single_node(repeat: Repeat) -> Node {
+    Node::new(config(1, vec![single("r", "s", repeat)], 6), two_leafs())
+}
+
+#[test]
+fn gather_complete() {
+    let mut node = query_node(4, 0.75);
+    let token = node.request("q");
+    assert_eq!(node.calls.len(), 4);
+    node.pass(Duration::from_millis(10));
+    node.serve_except(|_| false);
+    let Some(Reply::Merged {
+        stamps, missing, ..
+    }) = node.reply(token)
+    else {
+        panic!("{:?}", node.reply(token));
+    };
+    assert_eq!((stamps.len(), *missing), (4, 0));
+}
+
+/// A paused leaf is silent; the other replica answers in the usual time.
+#[test]
+fn gather_hedges_a_silent_leaf() {
+    let mut node = query_node(4, 0.75);
+    let token = node.request("q");
+    let silent = node.calls[0].instance.to_string();
+    node.pass(Duration::from_millis(10));
+    node.serve_except(|name| name == silent);
+    assert!(node.reply(token).is_none());
+    node.pass(Duration::from_millis(100));
+    assert_eq!(node.calls.len(), 2, "a second call is sent");
+    node.serve_except(|name| name == silent);
+    assert!(matches!(
+        node.reply(token),
+        Some(Reply::Merged { missing: 0, .. })
+    ));
+
+    // The next query does not ask the silent leaf.
+    node.request("q");
+    assert_eq!(
+        node.called().iter().filter(|name| **name == silent).count(),
+        1
+    );
+}
+
+/// Both replicas of a shard are silent: what is in goes out within the objective.
+#[rstest]
+#[case::enough(0.75, true)]
+#[case::too_little(0.95, false)]
+fn gather_both_replicas_silent(#[case] min_coverage: f64, #[case] in_time: bool) {
+    let mut node = query_node(8, min_coverage);
+    let token = node.request("q");
+    let dark = shard(0);
+    let is_dark = |name: &str| name.starts_with(&*dark);
+    for _ in 0..20 {
+        node.serve_except(is_dark);
+        node.pass(Duration::from_millis(10));
+    }
+    match node.reply(token) {
+        Some(Reply::Merged { missing: 1, .. }) => assert!(in_time),
+        None => assert!(!in_time),
+        reply => panic!("{reply:?}"),
+    }
+    if let Some((_, summary)) = node.replies.get(&token) {
+        assert!(summary.elapsed < Duration::from_millis(200));
+    }
+}
+
+#[test]
+fn gather_without_leafs_for_too_many_shards_is_rejected_at_once() {
+    let mut leafs = replicas(4);
+    leafs.retain(|leaf| !leaf.name.starts_with("shard-1") && !leaf.name.starts_with("shard-2"));
+    let route = fan_out("q", 4, 0.75);
+    let mut node = Node::new(config(1, vec![route], 6), leafs);
+    let token = node.request("q");
+    assert!(matches!(node.reply(token), Some(Reply::Rejected { .. })));
+    assert!(node.calls.is_empty());
+}
+
+#[test]
+fn gather_without_leafs_for_one_shard_does_not_wait_for_it() {
+    let mut leafs = replicas(4);
+    leafs.retain(|leaf| !leaf.name.starts_with("shard-1"));
+    let route = fan_out("q", 4, 0.75);
+    let mut node = Node::new(config(1, vec![route], 6), leafs);
+    let token = node.request("q");
+    node.serve_except(|_| false);
+    assert!(matches!(
+        node.reply(token),
+        Some(Reply::Merged { missing: 1, .. })
+    ));
+}
+
+/// A request pins its shards: a configuration that comes meanwhile changes nothing for it.
+#[test]
+fn gather_keeps_the_configuration_it_began_with() {
+    let mut node = query_node(4, 1.0);
+    let token = node.request("q");
+    let next = config(2, vec![fan_out("q", 2, 1.0)], 6);
+    assert!(node.edge.set_config(next));
+    node.serve_except(|_| false);
+    let Some(Reply::Merged { stamps, .. }) = node.reply(token) else {
+        panic!("no answer");
+    };
+    assert_eq!(stamps.len(), 4);
+    node.request("q");
+    assert_eq!(node.calls.len(), 2);
+}
+
+#[test]
+fn config_older_version_is_not_taken() {
+    let mut node = query_node(4, 1.0);
+    assert!(!node.edge.set_config(config(1, vec![], 6)));
+    assert!(!node.edge.set_config(config(0, vec![], 6)));
+}
+
+#[rstest]
+#[case::refused(CallEnd::Refused)]
+#[case::misdirected(CallEnd::Misdirected)]
+#[case::unsent(CallEnd::Unsent)]
+fn at_most_once_proved_not_run_goes_to_another_leaf(#[case] end: CallEnd) {
+    let mut node = single_node(Repeat::AtMostOnce);
+    let token = node.request("r");
+    let first = node.calls[0].clone();
+    node.end(first.call, end);
+    assert_eq!(node.calls.len(), 1);
+    assert_ne!(node.calls[0].leaf, first.leaf);
+    node.serve_except(|_| false);
+    assert!(matches!(node.reply(token), Some(Reply::Answer(_))));
+}
+
+/// After a lost answer the request may have run: it is neither repeated nor called "not run".
+#[test]
+fn at_most_once_lost_answer_is_not_repeated() {
+    let mut node = single_node(Repeat::AtMostOnce);
+    let token = node.request("r");
+    node.end(node.calls[0].call, CallEnd::Broken);
+    assert!(node.calls.is_empty());
+    assert!(matches!(node.reply(token), Some(Reply::Failed(_))));
+}
+
+#[test]
+fn at_most_once_silent_leaf_is_not_hedged() {
+    let mut node = single_node(Repeat::AtMostOnce);
+    let token = node.request("r");
+    node.pass(Duration::from_millis(7_900));
+    assert_eq!(node.calls.len(), 1);
+    assert!(node.reply(token).is_none());
+    node.pass(Duration::from_millis(200));
+    assert_eq!(node.reply(token), Some(&Reply::TimedOut));
+}
+
+/// All leafs refuse again and again: the reply may say "not run", since it is true.
+#[test]
+fn at_most_once_refused_by_all_is_rejected() {
+    let mut node = single_node(Repeat::AtMostOnce);
+    let token = node.request("r");
+    for _ in 0..100 {
+        for call in node.calls.clone() {
+            node.end(call.call, CallEnd::Refused);
+        }
+        node.pass(Duration::from_millis(20));
+    }
+    assert!(matches!(node.reply(token), Some(Reply::Rejected { .. })));
+    let (_, summary) = &node.replies[&token];
+    assert!(summary.elapsed < Duration::from_millis(200), "{summary:?}");
+}
+
+#[rstest]
+#[case::lost(CallEnd::Broken)]
+#[case::leaf_failed(failure())]
+fn idempotent_runs_on_no_more_leafs_than_allowed(#[case] end: CallEnd) {
+    let mut node = single_node(Repeat::Idempotent);
+    node.step(|edge, now, out| edge.upsert_leaf(leaf("three", "s"), now, out));
+    let token = node.request("r");
+    node.end(node.calls[0].call, end.clone());
+    assert_eq!(node.calls.len(), 1, "one retry");
+    node.end(node.calls[0].call, end.clone());
+    assert!(node.calls.is_empty(), "attempts are used up");
+    match (end, node.reply(token)) {
+        (CallEnd::Broken, Some(Reply::Failed(_))) => {}
+        (CallEnd::Answer(own), Some(Reply::Answer(answer))) => assert_eq!(own, *answer),
+        (_, reply) => panic!("{reply:?}"),
+    }
+}
+
+#[test]
+fn caller_gone_ends_idempotent_calls() {
+    let mut node = query_node(4, 0.75);
+    let token = node.request("q");
+    node.step(|edge, now, out| edge.caller_gone(token, now, out));
+    assert_eq!(node.abandoned.len(), 4);
+    assert_eq!(node.edge.open_calls(), 0);
+}
+
+#[test]
+fn caller_gone_keeps_at_most_once_calls_until_the_deadline() {
+    let mut node = single_node(Repeat::AtMostOnce);
+    let token = node.request_within("r", Duration::from_secs(1));
+    node.step(|edge, now, out| edge.caller_gone(token, now, out));
+    assert!(node.abandoned.is_empty());
+    node.pass(Duration::from_secs(2));
+    assert_eq!(node.edge.open_calls(), 0);
+}
+
+#[test]
+fn unknown_route_and_unknown_configuration_differ() {
+    let mut node = query_node(4, 0.75);
+    let token = node.request("other");
+    assert_eq!(node.reply(token), Some(&Reply::NoRoute));
+
+    let mut out = Vec::new();
+    let mut fresh = monsoondeal_edge::Edge::new(monsoondeal_edge::EdgeSettings::default());
+    let inquiry = monsoondeal_edge::Inquiry {
+        token,
+        host: common::HOST,
+        path: "/q/",
+        patience: None,
+    };
+    fresh.request(&inquiry, node.now, &mut out);
+    assert!(matches!(
+        &out[0],
+        monsoondeal_edge::Action::Reply(_, Reply::Rejected { .. }, _)
+    ));
+}
+
+/// More requests than a leaf's share of connections: they wait, the urgent ones first.
+#[test]
+fn waiting_serves_by_priority_then_age() {
+    let mut urgent = single("urgent", "s", Repeat::Idempotent);
+    urgent.priority = 0;
+    let other = single("other", "s", Repeat::Idempotent);
+    let mut node = Node::new(config(1, vec![urgent, other], 1), vec![leaf("one", "s")]);
+    let first = node.request("other");
+    let second = node.request("other");
+    let third = node.request("urgent");
+    assert_eq!(node.calls.len(), 1);
+    for expected in [first, third, second] {
+        assert_eq!(node.calls[0].token, expected);
+        node.end(node.calls[0].call, good("1"));
+    }
+    assert_eq!(node.replies.len(), 3);
+}
+
+/// What cannot be served in time is rejected at once, with the time after which there is room.
+#[test]
+fn waiting_too_long_is_rejected_at_once() {
+    let route = single("r", "s", Repeat::Idempotent);
+    let mut node = Node::new(config(1, vec![route], 1), vec![leaf("one", "s")]);
+    let tokens: Vec<_> = (0..50).map(|_| node.request("r")).collect();
+    let last = node.reply(tokens[49]);
+    let Some(Reply::Rejected { retry_after, .. }) = last else {
+        panic!("{last:?}");
+    };
+    assert!(*retry_after > Duration::from_millis(100));
+    assert!(node.reply(tokens[1]).is_none());
+}
--- /dev/null
+++ b/crates/gateway/tests/answers.rs
@@ -0,0 +1,174 @@
+//! Answers of leafs that are cut, late, crossed or altered, over real sockets.
+
+mod common;
+
+use std::net::{Shutdown, TcpStream};
+use std::thread::sleep;
+use std::time::Duration;
+
+use common::{Behaviour, Gateway, Leaf, answer_well, ask, field, request_text, reset, write};
+use monsoondeal_edge::Repeat;
+use rstest::rstest;
+
+fn cut_by_reset(stream: &mut TcpStream, head: &str) {
+    let id = field(head, "x-id").unwrap_or_default();
+    write(
+        stream,
+        &format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\n\r\npart of the body"),
+    );
+    // The node has read the first bytes before the reset.
+    sleep(Duration::from_millis(50));
+    reset(stream);
+    // Dropping the last handle sends the reset; the read loop ends with the error.
+    let _ = stream.shutdown(Shutdown::Read);
+}
+
+fn cut_short_of_length(stream: &mut TcpStream, head: &str) {
+    let id = field(head, "x-id").unwrap_or_default();
+    write(
+        stream,
+        &format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\ncontent-length: 50\r\n\r\npart"),
+    );
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn of_another_request(stream: &mut TcpStream, _head: &str) {
+    write(
+        stream,
+        "HTTP/1.1 200 OK\r\nx-id: other\r\nx-stamp: s\r\ncontent-length: 4\r\n\r\nbad!",
+    );
+}
+
+fn without_stamp(stream: &mut TcpStream, head: &str) {
+    let id = field(head, "x-id").unwrap_or_default();
+    write(
+        stream,
+        &format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 4\r\n\r\nbad!"),
+    );
+}
+
+fn encoded(stream: &mut TcpStream, head: &str) {
+    let id = field(head, "x-id").unwrap_or_default();
+    write(
+        stream,
+        &format!(
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\ncontent-encoding: gzip\r\ncontent-length: 4\r\n\r\nbad!"
+        ),
+    );
+}
+
+fn no_answer_in_the_protocol(stream: &mut TcpStream, _head: &str) {
+    write(stream, "\u{1}\u{2} this is no answer\r\n\r\n");
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn refused(stream: &mut TcpStream, _head: &str) {
+    write(
+        stream,
+        "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+    );
+}
+
+/// An unusable answer never reaches the caller; a request that may be repeated is served elsewhere.
+#[rstest]
+#[case::cut_by_reset(cut_by_reset)]
+#[case::cut_short_of_length(cut_short_of_length)]
+#[case::of_another_request(of_another_request)]
+#[case::without_stamp(without_stamp)]
+#[case::encoded(encoded)]
+#[case::no_answer_in_the_protocol(no_answer_in_the_protocol)]
+#[case::refused(refused)]
+fn idempotent_unusable_answer(#[case] behave: Behaviour) {
+    let (bad, well) = (Leaf::start(behave), Leaf::start(answer_well));
+    let gateway = Gateway::with_leafs(Repeat::Idempotent, &[&bad, &well]);
+    for at in 0..6 {
+        let response = gateway.request(&format!("id-{at}"));
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert!(response.ends_with("good"), "{response}");
+        assert_eq!(field(&response, "x-id"), Some(format!("id-{at}").as_str()));
+    }
+    assert!(bad.arrivals() >= 1, "the case was not met");
+}
+
+/// The same for a request that may run once: no second leaf is asked, and nothing says "not run".
+#[rstest]
+#[case::cut_by_reset(cut_by_reset)]
+#[case::cut_short_of_length(cut_short_of_length)]
+#[case::of_another_request(of_another_request)]
+#[case::without_stamp(without_stamp)]
+#[case::encoded(encoded)]
+#[case::no_answer_in_the_protocol(no_answer_in_the_protocol)]
+fn at_most_once_unusable_answer(#[case] behave: Behaviour) {
+    let (first, second) = (Leaf::start(behave), Leaf::start(behave));
+    let gateway = Gateway::with_leafs(Repeat::AtMostOnce, &[&first, &second]);
+    let response = gateway.request("id");
+    assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+    assert_eq!(first.arrivals() + second.arrivals(), 1);
+}
+
+#[test]
+fn at_most_once_refused_by_all_says_not_run() {
+    let (first, second) = (Leaf::start(refused), Leaf::start(refused));
+    let gateway = Gateway::with_leafs(Repeat::AtMostOnce, &[&first, &second]);
+    let response = gateway.request("id");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(field(&response, "retry-after").is_some(), "{response}");
+}
+
+/// Two requests on one connection of a caller get their own answers, the second after the first.
+#[test]
+fn kept_connection_serves_requests_in_order() {
+    let leaf = Leaf::start(answer_well);
+    let gateway = Gateway::with_leafs(Repeat::Idempotent, &[&leaf]);
+    let text =
+        request_text("one", "/r/x", "") + &request_text("two", "/r/x", "connection: close\r\n");
+    let response = ask(gateway.front, &text);
+    let (one, two) = (response.find("x-id: one"), response.find("x-id: two"));
+    assert!(one.is_some() && one < two, "{response}");
+}
+
+#[rstest]
+#[case::no_route("/other/", "404")]
+#[case::route("/r/x", "503")]
+fn without_leafs_case(#[case] path: &str, #[case] status: &str) {
+    let gateway = Gateway::with_leafs(Repeat::Idempotent, &[]);
+    let response = ask(
+        gateway.front,
+        &request_text("id", path, "connection: close\r\n"),
+    );
+    assert!(
+        response.starts_with(&format!("HTTP/1.1 {status}")),
+        "{response}"
+    );
+}
+
+/// A node that knows no configuration is not ready, and does not say that a route is unknown.
+#[test]
+fn without_configuration_it_is_not_ready() {
+    let gateway = Gateway::start();
+    assert!(!gateway.is_ready());
+    let response = gateway.request("id");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(field(&response, "retry-after").is_some());
+}
+
+#[test]
+fn metrics_count_requests() {
+    let leaf = Leaf::start(answer_well);
+    let gateway = Gateway::with_leafs(Repeat::Idempotent, &[&leaf]);
+    gateway.request("id");
+    let text = ask(
+        gateway.admin,
+        "GET /metrics HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n",
+    );
+    assert!(text.contains("monsoondeal_requests_total"), "{text}");
+    assert!(
+        text.contains("monsoondeal_response_time_seconds_count"),
+        "{text}"
+    );
+    let state = ask(
+        gateway.admin,
+        "GET /state HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n",
+    );
+    assert!(state.contains("\"requests\":1"), "{state}");
+}
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,278 @@
+//! A gateway on loopback, with leafs that answer as each test says.
+#![allow(dead_code)]
+
+use std::collections::{HashMap, HashSet};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, mpsc};
+use std::thread;
+use std::time::Duration;
+
+use futures_channel::mpsc::unbounded;
+use hyper::header::HeaderName;
+use monsoondeal_edge::{
+    Config, EdgeSettings, LeafEntry, Limits, Name, Repeat, Route, Service, Target,
+};
+use monsoondeal_gateway::{GatewaySettings, HeaderNames, StopSettings, Update};
+use socket2::SockRef;
+
+/// Longest time for a test to wait for anything.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a leaf does with the connection after it has read a request.
+pub type Behaviour = fn(&mut TcpStream, &str);
+
+/// `Leaf` is a leaf that reads requests and answers as told.
+pub struct Leaf {
+    pub addr: SocketAddr,
+    arrivals: Arc<AtomicUsize>,
+}
+
+impl Leaf {
+    pub fn start(behave: Behaviour) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let arrivals = Arc::new(AtomicUsize::new(0));
+        let counter = arrivals.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (mut stream, counter) = (stream.expect("a connection"), counter.clone());
+                thread::spawn(move || {
+                    while let Some(head) = read_head(&mut stream) {
+                        counter.fetch_add(1, Ordering::SeqCst);
+                        behave(&mut stream, &head);
+                    }
+                });
+            }
+        });
+        Self { addr, arrivals }
+    }
+
+    /// Returns the requests that have arrived.
+    pub fn arrivals(&self) -> usize {
+        self.arrivals.load(Ordering::SeqCst)
+    }
+}
+
+/// Reads up to the end of a request's head. Requests in these tests have no body.
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return None,
+        }
+    }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
+/// Returns the value of a header field.
+pub fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name).then_some(value.trim())
+    })
+}
+
+/// Writes, and leaves a failure to the reader at the other end.
+pub fn write(stream: &mut TcpStream, text: &str) {
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// Closes a connection with a reset.
+pub fn reset(stream: &TcpStream) {
+    SockRef::from(stream)
+        .set_linger(Some(Duration::ZERO))
+        .expect("a socket option");
+}
+
+/// Answers a request well.
+pub fn answer_well(stream: &mut TcpStream, head: &str) {
+    let id = field(head, "x-id").unwrap_or_default();
+    let text =
+        format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\ncontent-length: 4\r\n\r\ngood");
+    write(stream, &text);
+}
+
+fn names() -> HeaderNames {
+    HeaderNames {
+        request_id: HeaderName::from_static("x-id"),
+        deadline: HeaderName::from_static("x-deadline"),
+        stamp: HeaderName::from_static("x-stamp"),
+        instance: HeaderName::from_static("x-instance"),
+        not_run: HeaderName::from_static("x-not-run"),
+        parts: HeaderName::from_static("x-parts"),
+        missing: HeaderName::from_static("x-missing"),
+    }
+}
+
+fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// `Gateway` is a gateway that runs until the test process ends.
+pub struct Gateway {
+    pub front: SocketAddr,
+    pub readiness: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+impl Gateway {
+    /// Starts a gateway that knows nothing.
+    pub fn start() -> Self {
+        Self::start_with(Vec::new)
+    }
+
+    /// Starts a gateway that is told the updates that `prepare` returns.
+    fn start_with<F>(prepare: F) -> Self
+    where
+        F: FnOnce() -> Vec<Update> + Send + 'static,
+    {
+        let (front, readiness, admin) = (free_addr(), free_addr(), free_addr());
+        let settings = GatewaySettings {
+            front,
+            readiness,
+            ready_path: "/ready",
+            admin,
+            headers: names(),
+            edge: EdgeSettings {
+                nodes: 1,
+                repeat_slack: 100.0,
+                ..EdgeSettings::default()
+            },
+            stop: StopSettings::default(),
+            domain: "a".to_owned(),
+            vm: "vm".to_owned(),
+        };
+        thread::spawn(move || {
+            let (updates, inbox) = unbounded();
+            for update in prepare() {
+                updates.unbounded_send(update).expect("an open inbox");
+            }
+            let runtime = compio::runtime::Runtime::new().expect("a runtime");
+            runtime
+                .block_on(monsoondeal_gateway::run(settings, inbox))
+                .expect("the gateway starts");
+        });
+        let gateway = Self {
+            front,
+            readiness,
+            admin,
+        };
+        gateway.wait_until_listening();
+        gateway
+    }
+
+    /// Starts a gateway with one route, `/r/`, to a service with these leafs.
+    pub fn with_leafs(repeat: Repeat, leafs: &[&Leaf]) -> Self {
+        let addrs: Vec<SocketAddr> = leafs.iter().map(|leaf| leaf.addr).collect();
+        let gateway = Self::start_with(move || {
+            let entries = addrs.into_iter().enumerate().map(entry);
+            vec![
+                Update::Leafs(entries.collect()),
+                Update::ClosedDomains(HashSet::new()),
+                Update::Config(Box::new(config(repeat))),
+            ]
+        });
+        gateway.wait_until_ready();
+        gateway
+    }
+
+    fn wait_until_listening(&self) {
+        wait_until(|| TcpStream::connect(self.admin).is_ok());
+    }
+
+    fn wait_until_ready(&self) {
+        wait_until(|| self.is_ready());
+    }
+
+    /// Asks as the balancer does.
+    pub fn is_ready(&self) -> bool {
+        ask(
+            self.readiness,
+            "GET /ready HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n",
+        )
+        .starts_with("HTTP/1.1 200")
+    }
+
+    /// Sends a request on a connection of its own and returns the whole response.
+    pub fn request(&self, id: &str) -> String {
+        ask(
+            self.front,
+            &request_text(id, "/r/x", "connection: close\r\n"),
+        )
+    }
+}
+
+/// Returns the text of a request.
+pub fn request_text(id: &str, path: &str, fields: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: h.example\r\nx-id: {id}\r\nx-deadline: 3000\r\n{fields}\r\n"
+    )
+}
+
+/// Sends a text and reads until the connection ends.
+pub fn ask(addr: SocketAddr, text: &str) -> String {
+    let (sender, receiver) = mpsc::channel();
+    let text = text.to_owned();
+    thread::spawn(move || {
+        let mut answer = Vec::new();
+        if let Ok(mut stream) = TcpStream::connect(addr) {
+            write(&mut stream, &text);
+            // A reset ends the answer as well.
+            let _ = stream.read_to_end(&mut answer);
+        }
+        let _ = sender.send(String::from_utf8_lossy(&answer).into_owned());
+    });
+    receiver.recv_timeout(PATIENCE).expect("an answer in time")
+}
+
+/// Waits for a state.
+pub fn wait_until<F>(is_so: F)
+where
+    F: Fn() -> bool,
+{
+    let started = std::time::Instant::now();
+    while !is_so() {
+        assert!(started.elapsed() < PATIENCE, "the state did not come");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn entry((at, addr): (usize, SocketAddr)) -> LeafEntry {
+    LeafEntry {
+        name: Name::from(format!("leaf-{at}")),
+        born: 1,
+        service: Name::from("s"),
+        addr,
+        domain: Name::from("a"),
+        version: Name::from("v1"),
+        slots: 3,
+        draining: false,
+        warmup: Duration::ZERO,
+    }
+}
+
+fn config(repeat: Repeat) -> Config {
+    let route = Route {
+        name: Name::from("r"),
+        host: "h.example".to_owned(),
+        prefix: "/r/".to_owned(),
+        target: Target::Service(Name::from("s")),
+        repeat,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_secs(1),
+        attempts: 2,
+        priority: 0,
+    };
+    let service = Service {
+        connections: 10,
+        cold_rate: None,
+        warmup: Duration::ZERO,
+    };
+    let services = HashMap::from([(Name::from("s"), service)]);
+    Config::new(1, [route], services, Limits::default())
+}
