Admit queries by the response times of their shards

Ruled out: the local queue, which stayed empty since the share of connections is larger than a leaf's slots and queue. After: at least six tenths, asserted by overload_serves_what_the_leafs_bear.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use monsoondeal_core::{CallId, FixedMap, LeafId, Time};
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 use smallvec::SmallVec;
 
 use crate::action::{Action, CallEnd, Inquiry, Note, Reply, Send, Summary, Token};
+use crate::admit::{Admission, Sign};
 use crate::choice::{Choice, Verdict};
 use crate::config::{Config, Name, Route, Service, Target};
 use crate::directory::{Directory, LeafEntry, Removal};
@@ -130,6 +131,8 @@
     shares: Shares,
     splits: Splits,
     paces: HashMap<Name, Pace>,
+    /// Limits on queries, by their first shard.
+    admissions: HashMap<Name, Admission>,
     jobs: FixedMap<Token, Job>,
     calls: FixedMap<CallId, Call>,
     waiters: HashMap<Name, Vec<Waiter>>,
@@ -157,6 +160,7 @@
             shares,
             splits: Splits::default(),
             paces: HashMap::new(),
+            admissions: HashMap::new(),
             jobs: FixedMap::default(),
             calls: FixedMap::default(),
             waiters: HashMap::new(),
@@ -308,7 +312,11 @@
             return;
         }
         let patience = inquiry.patience.unwrap_or(route.timeout);
-        let job = Job::new(route.clone(), config.version, &services, patience, now);
+        let mut job = Job::new(route.clone(), config.version, &services, patience, now);
+        job.usual = pace(&mut self.paces, route).usual();
+        if let Some(admission) = self.admission(&job) {
+            admission.begin(job.usual);
+        }
         let count = job.shards.len();
         self.jobs.insert(token, job);
         for shard in 0..count {
@@ -324,7 +332,7 @@
         };
         let response = now.since(call.sent_at);
         self.count_end(&end);
-        let verdict = self.judge(&call, &end, response);
+        let verdict = self.judge(&call, &end, response, now);
         self.choice.ended(call.leaf, verdict, call.is_overdue, now);
         if let Some(job) = self.jobs.get_mut(&call.token) {
             let shard = &mut job.shards[call.shard];
@@ -343,6 +351,9 @@
             return;
         };
         self.counts.left += 1;
+        if let Some(admission) = self.admission(&job) {
+            admission.end(job.usual, Sign::None);
+        }
         let open: Vec<CallId> = job.shards.iter().flat_map(|s| s.open.clone()).collect();
         for id in open {
             if job.is_idempotent() {
@@ -395,7 +406,7 @@
     ///
     /// Load pattern: all leafs of some shards are down, or what is left of them is behind. Who waits
     /// then for leafs that cannot keep up is late for nothing and holds up others.
-    fn rejection(&self, route: &Route, services: &[Name]) -> Option<Reply> {
+    fn rejection(&mut self, route: &Rc<Route>, services: &[Name]) -> Option<Reply> {
         let needed = match &route.target {
             Target::FanOut(shards, gather) => least_shards(shards.len(), gather.min_coverage),
             Target::Service(_) | Target::Split(_) => 1,
@@ -422,12 +433,37 @@
                 retry_after: NO_LEAF_RETRY,
             });
         }
-        (services.len() < needed + dead + behind).then(|| Reply::Rejected {
-            reason: "the leafs are behind",
-            retry_after: longest.max(BUSY_RETRY),
+        if services.len() < needed + dead + behind {
+            return Some(Reply::Rejected {
+                reason: "the leafs are behind",
+                retry_after: longest.max(BUSY_RETRY),
+            });
+        }
+        let Target::FanOut(shards, _) = &route.target else {
+            return None;
+        };
+        let usual = pace(&mut self.paces, route).usual();
+        let admission = self.admissions.get_mut(shards.first()?)?;
+        if admission.admits(usual, route.priority) {
+            return None;
+        }
+        let spread = self.rng.random_range(0.5..1.5);
+        Some(Reply::Rejected {
+            reason: "too many queries are under way",
+            retry_after: route.objective.mul_f64(spread),
         })
     }
 
+    /// Returns the limit that a query counts against.
+    fn admission(&mut self, job: &Job) -> Option<&mut Admission> {
+        let key = job.load_key()?;
+        if !self.admissions.contains_key(key) {
+            self.admissions
+                .insert(key.clone(), Admission::new(job.usual));
+        }
+        self.admissions.get_mut(key)
+    }
+
     /// Returns how long a call for a service would wait for a leaf.
     fn expected_wait(&self, service: &Name, leafs: usize, route: &Route) -> Duration {
         let Some(waiters) = self.waiters.get(service) else {
@@ -611,6 +647,7 @@
         let cause = match end {
             CallEnd::Answer(answer) if answer.is_success() => {
                 shard.state = ShardState::Done(answer);
+                shard.response = Some(now.since(shard.since));
                 return;
             }
             CallEnd::Answer(answer) => {
@@ -621,6 +658,7 @@
             CallEnd::Refused | CallEnd::Misdirected => {
                 shard.arrived = true;
                 shard.runs -= 1;
+                job.refused += 1;
                 "refused"
             }
             CallEnd::Unsent => {
@@ -783,6 +821,10 @@
             return;
         };
         self.count_reply(&reply);
+        let sign = job.sign(now);
+        if let Some(admission) = self.admission(&job) {
+            admission.end(job.usual, sign);
+        }
         for id in job.shards.iter().flat_map(|shard| shard.open.iter()) {
             self.linger_timers.push(Reverse((now + LINGER, *id)));
         }
@@ -814,13 +856,13 @@
         out.push(Action::Retire(id));
     }
 
-    fn judge(&mut self, call: &Call, end: &CallEnd, response: Duration) -> Verdict {
+    fn judge(&mut self, call: &Call, end: &CallEnd, response: Duration, now: Time) -> Verdict {
         match end {
             CallEnd::Answer(answer) if answer.is_success() => {
                 let Some(pace) = self.paces.get_mut(&call.route) else {
                     return Verdict::Good(1.0);
                 };
-                pace.note(response);
+                pace.note(response, now);
                 Verdict::Good(pace.slowness(response))
             }
             CallEnd::Answer(_) => Verdict::Failed,
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::action::{Answer, Reply, Summary};
+use crate::admit::Sign;
 use crate::config::{Gather, Name, Repeat, Route, Target};
 use crate::merge::top_records;
 
@@ -15,6 +16,8 @@
 const RETURN_SHARE: f64 = 0.05;
 /// Time that is kept for the way back to the caller, besides.
 const RETURN_TIME: Duration = Duration::from_millis(5);
+/// Refused calls, as a share of the shards, from which on a query is a sign of overload.
+const REFUSED_SHARE: f64 = 0.15;
 /// Retry advice when no leaf can be called at present.
 pub(crate) const NO_LEAF_RETRY: Duration = Duration::from_millis(300);
 /// Retry advice when all leafs are busy.
@@ -52,6 +55,10 @@
     pub(crate) sent_at: Time,
     /// When it is looked at again: to hedge, or to ask for a leaf.
     pub(crate) look_at: Time,
+    /// Time from the first call to the answer.
+    pub(crate) response: Option<Duration>,
+    /// When the first call was sent, or wanted.
+    pub(crate) since: Time,
     /// The latest failure that a leaf answered with.
     pub(crate) failure: Option<Answer>,
 }
@@ -69,6 +76,8 @@
             waiting: false,
             sent_at: now,
             look_at: Time::MAX,
+            response: None,
+            since: now,
             failure: None,
         }
     }
@@ -90,6 +99,10 @@
     pub(crate) shards: Vec<Shard>,
     pub(crate) hedges: usize,
     pub(crate) retries: usize,
+    /// Calls that leafs refused.
+    pub(crate) refused: usize,
+    /// What the query counts as in admission.
+    pub(crate) usual: Duration,
     /// The timer that is set for the job.
     pub(crate) wake: Time,
 }
@@ -115,6 +128,8 @@
                 .collect(),
             hedges: 0,
             retries: 0,
+            refused: 0,
+            usual: Duration::ZERO,
             wake: Time::MAX,
             route,
         }
@@ -141,6 +156,39 @@
         reply.or_else(|| (now >= self.deadline).then_some(Reply::TimedOut))
     }
 
+    /// Returns the first shard of a query, by which queries for the same shards are counted together.
+    pub(crate) fn load_key(&self) -> Option<&Name> {
+        match &self.route.target {
+            Target::FanOut(shards, _) => shards.first(),
+            Target::Service(_) | Target::Split(_) => None,
+        }
+    }
+
+    /// Returns what the query tells of the load when it ends.
+    pub(crate) fn sign(&self, now: Time) -> Sign {
+        if self.refused as f64 > REFUSED_SHARE * self.shards.len() as f64 {
+            return Sign::Refusals;
+        }
+        self.median_response(now).map_or(Sign::None, Sign::Median)
+    }
+
+    /// Returns the median over the shards of the time to an answer; that of a shard without an answer is
+    /// the time that it has waited.
+    fn median_response(&self, now: Time) -> Option<Duration> {
+        let mut times: SmallVec<[Duration; 32]> = self
+            .shards
+            .iter()
+            .filter(|shard| !matches!(shard.state, ShardState::Lost(_)))
+            .map(|shard| shard.response.unwrap_or_else(|| now.since(shard.since)))
+            .collect();
+        let middle = times.len() / 2;
+        if times.is_empty() {
+            return None;
+        }
+        let (_, median, _) = times.select_nth_unstable(middle);
+        Some(*median)
+    }
+
     /// Returns the time of the next look at the job.
     pub(crate) fn next_look(&self, now: Time) -> Time {
         let mut next = self.deadline;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`Action`]s come out.
 
 mod action;
+mod admit;
 mod choice;
 mod config;
 mod directory;
@@ -17,6 +18,7 @@
 mod split;
 
 pub use action::{Action, Answer, CallEnd, Inquiry, Note, Reply, Send, Summary, Token};
+pub use admit::{Admission, Sign};
 pub use choice::{Choice, Verdict};
 pub use config::{Config, Gather, Limits, Name, Repeat, Route, Service, Target};
 pub use directory::{Directory, LeafEntry, Removal};
--- a/crates/edge/src/pace.rs
+++ b/crates/edge/src/pace.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use monsoondeal_core::Time;
 use monsoondeal_route::ResponseQuantile;
 
 /// A call is overdue after this multiple of the median response time. Even calls stay below it; a
@@ -14,11 +15,19 @@
 /// The same for a call to a single leaf.
 const FIRST_SHARE_SINGLE: f64 = 0.25;
 
+/// Time constant with which the usual response time follows a slower present one.
+const SLOWER: Duration = Duration::from_secs(20);
+/// Time constant with which it follows a faster one.
+const FASTER: Duration = Duration::from_secs(1);
+
 /// `Pace` tracks the response times of one route's calls.
 #[derive(Clone, Debug)]
 pub struct Pace {
     median: ResponseQuantile,
     first: Duration,
+    /// The response time without overload, in seconds; zero until it is known.
+    usual: f64,
+    updated: Time,
 }
 
 impl Pace {
@@ -32,15 +41,37 @@
         Self {
             median: ResponseQuantile::above(0.5),
             first: objective.mul_f64(share),
+            usual: 0.0,
+            updated: Time::default(),
         }
     }
 
     /// Notes the response time of a call that was answered.
-    pub fn note(&mut self, response: Duration) {
+    pub fn note(&mut self, response: Duration, now: Time) {
         self.median.note(response);
+        let Some(median) = self.median.value() else {
+            return;
+        };
+        let median = median.as_secs_f64();
+        if self.usual == 0.0 {
+            self.usual = median;
+        }
+        let span = if median > self.usual { SLOWER } else { FASTER };
+        let elapsed = now.since(self.updated).as_secs_f64();
+        let step = 1.0 - (-elapsed / span.as_secs_f64()).exp();
+        self.usual += step * (median - self.usual);
+        self.updated = now;
+    }
+
+    /// Returns the response time without overload, as far as it is known.
+    pub fn usual(&self) -> Duration {
+        if self.usual == 0.0 {
+            return self.first;
+        }
+        Duration::from_secs_f64(self.usual)
     }
 
-    /// Returns the usual response time.
+    /// Returns the present median response time.
     pub fn median(&self) -> Duration {
         self.median.value().unwrap_or(self.first)
     }
--- /dev/null
+++ b/crates/edge/tests/common/farm.rs
@@ -0,0 +1,238 @@
+//! Leafs with slots, queues and pauses in virtual time, and callers in front of one node.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::time::Duration;
+
+use monsoondeal_core::{CallId, Time};
+use monsoondeal_edge::{CallEnd, LeafEntry, Reply, Token};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::{Node, good};
+
+/// Time between two looks of the simulation, which bounds its error.
+const STEP: Duration = Duration::from_micros(500);
+/// One way between node and leaf.
+const WAY: Duration = Duration::from_micros(500);
+
+/// `Leafs` says how all leafs behave.
+#[derive(Clone, Copy, Debug)]
+pub struct Leafs {
+    pub slots: usize,
+    pub queue: usize,
+    /// Shortest and longest time that a call takes.
+    pub work: (Duration, Duration),
+    /// Length of a pause, and time from one to the next.
+    pub pause: (Duration, Duration),
+}
+
+struct Leaf {
+    running: usize,
+    queue: VecDeque<CallId>,
+    /// Shift of its pauses.
+    phase: Duration,
+    /// Factor on its work.
+    slow: f64,
+    is_dark: bool,
+}
+
+/// What became of the requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    pub asked: usize,
+    /// Answered within the objective, weighted by the square of the coverage.
+    pub credit: f64,
+    pub late: usize,
+    pub rejected: usize,
+    pub failed: usize,
+    /// Longest time until a rejection.
+    pub slowest_rejection: Duration,
+}
+
+/// `Farm` plays callers against a node and its leafs.
+pub struct Farm {
+    pub node: Node,
+    behaviour: Leafs,
+    leafs: HashMap<String, Leaf>,
+    /// Calls at leafs: leaf by call.
+    at: HashMap<CallId, String>,
+    /// Arrivals of calls at leafs and ends of calls.
+    events: BinaryHeap<Reverse<(Time, bool, CallId)>>,
+    asked: BTreeMap<Token, (String, Duration)>,
+    rng: SmallRng,
+}
+
+impl Farm {
+    pub fn new(node: Node, entries: &[LeafEntry], behaviour: Leafs, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let leafs = entries.iter().map(|entry| {
+            let leaf = Leaf {
+                running: 0,
+                queue: VecDeque::new(),
+                phase: behaviour.pause.1.mul_f64(rng.random_range(0.0..1.0)),
+                slow: 1.0,
+                is_dark: false,
+            };
+            (entry.name.to_string(), leaf)
+        });
+        let leafs = leafs.collect();
+        Self {
+            node,
+            behaviour,
+            leafs,
+            at: HashMap::new(),
+            events: BinaryHeap::new(),
+            asked: BTreeMap::new(),
+            rng,
+        }
+    }
+
+    /// Makes the work of a leaf longer by a factor.
+    pub fn slow(&mut self, name: &str, factor: f64) {
+        self.leafs.get_mut(name).expect("a leaf").slow = factor;
+    }
+
+    /// Lets a leaf take calls and never answer.
+    pub fn darken(&mut self, name: &str) {
+        self.leafs.get_mut(name).expect("a leaf").is_dark = true;
+    }
+
+    /// Sends `per_second` requests a second on a route, at random times, for `span`.
+    pub fn play(&mut self, route: &str, objective: Duration, per_second: f64, span: Duration) {
+        let end = self.node.now + span;
+        let chance = per_second * STEP.as_secs_f64();
+        while self.node.now < end {
+            let mut due = chance;
+            while due > 0.0 {
+                if self.rng.random_bool(due.min(1.0)) {
+                    let token = self.node.request_within(route, objective * 10);
+                    self.asked.insert(token, (route.to_owned(), objective));
+                }
+                due -= 1.0;
+            }
+            self.advance();
+        }
+    }
+
+    /// Lets what is under way come to its end, and tells what became of the requests of a route.
+    pub fn finish(&mut self, route: &str) -> Tally {
+        let end = self.node.now + Duration::from_secs(10);
+        while self.node.edge.open_requests() > 0 && self.node.now < end {
+            self.advance();
+        }
+        let mut tally = Tally::default();
+        for (token, (asked, objective)) in &self.asked {
+            if asked != route {
+                continue;
+            }
+            tally.asked += 1;
+            let (reply, summary) = &self.node.replies[token];
+            let in_time = summary.elapsed <= *objective;
+            match reply {
+                Reply::Merged {
+                    stamps, missing, ..
+                } if in_time => {
+                    let share = stamps.len() as f64 / (stamps.len() + missing) as f64;
+                    tally.credit += share * share;
+                }
+                Reply::Answer(_) if in_time => tally.credit += 1.0,
+                Reply::Merged { .. } | Reply::Answer(_) => tally.late += 1,
+                Reply::Rejected { .. } => {
+                    tally.rejected += 1;
+                    tally.slowest_rejection = tally.slowest_rejection.max(summary.elapsed);
+                }
+                _ => tally.failed += 1,
+            }
+        }
+        tally
+    }
+
+    fn advance(&mut self) {
+        self.take_up_calls();
+        let until = self.node.now + STEP;
+        while let Some(Reverse((at, is_end, call))) = self.events.peek().copied()
+            && at <= until
+        {
+            self.events.pop();
+            if is_end {
+                self.end(call, at);
+            } else {
+                self.arrive(call, at);
+            }
+        }
+        self.node.pass(STEP);
+        self.take_up_calls();
+    }
+
+    fn take_up_calls(&mut self) {
+        let new: Vec<(CallId, String)> = self
+            .node
+            .calls
+            .iter()
+            .filter(|call| !self.at.contains_key(&call.call))
+            .map(|call| (call.call, call.instance.to_string()))
+            .collect();
+        for (call, leaf) in new {
+            self.at.insert(call, leaf);
+            self.events
+                .push(Reverse((self.node.now + WAY, false, call)));
+        }
+    }
+
+    fn arrive(&mut self, call: CallId, now: Time) {
+        let behaviour = self.behaviour;
+        let leaf = self.leafs.get_mut(&self.at[&call]).expect("a leaf");
+        if leaf.is_dark {
+            return;
+        }
+        if leaf.running < behaviour.slots {
+            leaf.running += 1;
+            let end = work(leaf, &behaviour, now, &mut self.rng);
+            self.events.push(Reverse((end, true, call)));
+        } else if leaf.queue.len() < behaviour.queue {
+            leaf.queue.push_back(call);
+        } else {
+            self.node.end(call, CallEnd::Refused);
+        }
+    }
+
+    fn end(&mut self, call: CallId, now: Time) {
+        let behaviour = self.behaviour;
+        let leaf = self.leafs.get_mut(&self.at[&call]).expect("a leaf");
+        match leaf.queue.pop_front() {
+            Some(next) => {
+                let end = work(leaf, &behaviour, now, &mut self.rng);
+                self.events.push(Reverse((end, true, next)));
+            }
+            None => leaf.running -= 1,
+        }
+        self.node.end(call, good(&call.0.to_string()));
+    }
+}
+
+/// Returns when a call that starts now ends: its work, and the pauses that fall into it.
+fn work(leaf: &Leaf, behaviour: &Leafs, now: Time, rng: &mut SmallRng) -> Time {
+    let (shortest, longest) = behaviour.work;
+    let part = rng.random_range(0.0..1.0);
+    let work = (shortest + (longest - shortest).mul_f64(part)).mul_f64(leaf.slow);
+    let (pause, period) = behaviour.pause;
+    if pause.is_zero() {
+        return now + work + WAY;
+    }
+    let period_micros = period.as_micros() as u64;
+    let into = (now.as_micros() + leaf.phase.as_micros() as u64) % period_micros;
+    let into = Duration::from_micros(into);
+    let next_pause = if into < pause {
+        // It starts within a pause.
+        return now + (pause - into) + work + WAY;
+    } else {
+        period - into
+    };
+    let paused = if work > next_pause {
+        pause
+    } else {
+        Duration::ZERO
+    };
+    now + work + paused + WAY
+}
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A node's direct path in virtual time, with simple leafs.
 #![allow(dead_code)]
 
+pub mod farm;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
--- /dev/null
+++ b/crates/edge/tests/load.rs
@@ -0,0 +1,134 @@
+//! Replays of load patterns in virtual time: pauses, slow and dark leafs, more queries than the leafs
+//! bear.
+
+mod common;
+
+use std::time::Duration;
+
+use common::farm::{Farm, Leafs, Tally};
+use common::{Node, config, fan_out, leaf, shard};
+use monsoondeal_edge::LeafEntry;
+use rstest::rstest;
+
+const SHARDS: usize = 20;
+const OBJECTIVE: Duration = Duration::from_millis(200);
+/// Leafs of 3 slots whose calls take 28 ms in the mean: a shard of two bears 214 queries a second.
+const LEAFS: Leafs = Leafs {
+    slots: 3,
+    queue: 18,
+    work: (Duration::from_millis(14), Duration::from_millis(42)),
+    pause: (Duration::ZERO, Duration::from_secs(6)),
+};
+const CAPACITY: f64 = 214.0;
+
+fn farm(behaviour: Leafs, seed: u64) -> Farm {
+    let entries: Vec<LeafEntry> = (0..SHARDS)
+        .flat_map(|at| {
+            let service = shard(at);
+            ["a", "b"].map(|replica| leaf(&format!("{service}-{replica}"), &service))
+        })
+        .collect();
+    let mut less_urgent = fan_out("stats", SHARDS, 0.75);
+    less_urgent.priority = 5;
+    let routes = vec![fan_out("q", SHARDS, 0.89), less_urgent];
+    let node = Node::new(config(1, routes, 30), entries.clone());
+    Farm::new(node, &entries, behaviour, seed)
+}
+
+fn share(tally: &Tally) -> f64 {
+    tally.credit / tally.asked as f64
+}
+
+/// Each leaf pauses 250 ms every 6 s: of queries to 20 shards, more than half meet a pause.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn pauses_cost_no_credit(#[case] seed: u64) {
+    let pause = (Duration::from_millis(250), Duration::from_secs(6));
+    let mut farm = farm(Leafs { pause, ..LEAFS }, seed);
+    farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(20));
+    let tally = farm.finish("q");
+    assert!(share(&tally) >= 0.97, "{tally:?}");
+    let counts = farm.node.edge.counts();
+    let extra = counts.hedges as f64 / counts.calls as f64;
+    assert!(extra <= 0.08, "extra calls {extra}");
+}
+
+/// A sixth of the leafs is eight times slower, each in another shard.
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn slow_leafs_are_steered_round(#[case] seed: u64) {
+    let mut farm = farm(LEAFS, seed);
+    farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(3));
+    for at in 0..6 {
+        farm.slow(&format!("{}-a", shard(at)), 8.0);
+    }
+    farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(10));
+    let tally = farm.finish("q");
+    assert!(share(&tally) >= 0.95, "{tally:?}");
+}
+
+/// Some leafs fall silent: they take calls and never answer.
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn dark_leafs_are_steered_round(#[case] seed: u64) {
+    let mut farm = farm(LEAFS, seed);
+    farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(3));
+    for at in 0..5 {
+        farm.darken(&format!("{}-b", shard(at)));
+    }
+    farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(10));
+    let tally = farm.finish("q");
+    assert!(share(&tally) >= 0.95, "{tally:?}");
+}
+
+/// Callers ask for 1.5, 2.5 and 4 times what the leafs bear. At least six tenths of what the leafs
+/// bear must be served in time, and who is turned away must learn it within a quarter of the objective.
+#[rstest]
+#[case(1.5, 1)]
+#[case(2.5, 1)]
+#[case(2.5, 2)]
+#[case(4.0, 1)]
+fn overload_serves_what_the_leafs_bear(#[case] times: f64, #[case] seed: u64) {
+    let mut farm = farm(LEAFS, seed);
+    farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(5));
+    let calm = farm.finish("q");
+    let span = Duration::from_secs(6);
+    farm.play("q", OBJECTIVE, times * CAPACITY, span);
+    let tally = farm.finish("q");
+    let served = tally.credit - calm.credit;
+    let bearable = CAPACITY * span.as_secs_f64();
+    assert!(
+        served >= 0.6 * bearable,
+        "{served} of {bearable}: {tally:?}"
+    );
+    assert!(tally.slowest_rejection <= OBJECTIVE / 4, "{tally:?}");
+    // Afterwards all is as before.
+    farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(2));
+    let before = farm.finish("q");
+    farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(5));
+    let after = farm.finish("q");
+    let late = (after.asked - before.asked) as f64 - (after.credit - before.credit);
+    assert!(late <= 10.0, "{late} of {}", after.asked - before.asked);
+}
+
+/// Under overload the more urgent kind is served better than the less urgent one.
+#[test]
+fn overload_serves_the_urgent_kind_first() {
+    let mut farm = farm(LEAFS, 1);
+    farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(5));
+    for _ in 0..30 {
+        farm.play("q", OBJECTIVE, 2.0 * CAPACITY, Duration::from_millis(100));
+        farm.play(
+            "stats",
+            OBJECTIVE,
+            2.0 * CAPACITY,
+            Duration::from_millis(100),
+        );
+    }
+    let (urgent, other) = (farm.finish("q"), farm.finish("stats"));
+    assert!(share(&urgent) >= share(&other), "{urgent:?} {other:?}");
+}
