--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -3,13 +3,13 @@
 //! Load pattern: many callers come at once, or a part of the leafs is lost while callers keep coming.
 //! Without a limit all queries wait at all leafs, and none is answered in time. The limit follows the
 //! ratio of the usual response time to the present one, so that those admitted are answered in time
-//! and the others learn at once when to come back. A minority of slow leafs does not count, since the
-//! median over the shards of a query is taken.
+//! and the others learn at once when to come back. A few slow leafs do not count, since the third
+//! quartile over the shards of a query is taken.
 
 use std::time::Duration;
 
 /// Ratio of present to usual response times that is no sign of overload.
-const TOLERANCE: f64 = 1.8;
+const TOLERANCE: f64 = 2.2;
 /// Ratio that a query counts with whose calls were refused.
 const REFUSED_RATIO: f64 = 5.0;
 /// Weight of the newest ratio.
@@ -30,8 +30,8 @@
 pub enum Sign {
     /// Nothing.
     None,
-    /// The median response time over its shards.
-    Median(Duration),
+    /// The third quartile of the response times over its shards.
+    Quantile(Duration),
     /// Leafs of many of its shards refused calls.
     Refusals,
 }
@@ -82,7 +82,7 @@
         self.running = (self.running - usual).max(0.0);
         let ratio = match sign {
             Sign::None => return,
-            Sign::Median(median) => median.as_secs_f64() / usual.max(1e-6),
+            Sign::Quantile(response) => response.as_secs_f64() / usual.max(1e-6),
             Sign::Refusals => REFUSED_RATIO,
         };
         self.ratio += SMOOTHING * (ratio - self.ratio);
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -18,6 +18,9 @@
 const RETURN_TIME: Duration = Duration::from_millis(5);
 /// Refused calls, as a share of the shards, from which on a query is a sign of overload.
 const REFUSED_SHARE: f64 = 0.15;
+/// Quantile over the shards that tells the load: a few slow leafs stay above it, and shards that have
+/// lost a part of their leafs do not.
+const LOAD_QUANTILE: f64 = 0.75;
 /// Retry advice when no leaf can be called at present.
 pub(crate) const NO_LEAF_RETRY: Duration = Duration::from_millis(300);
 /// Retry advice when all leafs are busy.
@@ -169,24 +172,23 @@
         if self.refused as f64 > REFUSED_SHARE * self.shards.len() as f64 {
             return Sign::Refusals;
         }
-        self.median_response(now).map_or(Sign::None, Sign::Median)
+        self.quantile_response(now)
+            .map_or(Sign::None, Sign::Quantile)
     }
 
-    /// Returns the median over the shards of the time to an answer; that of a shard without an answer is
-    /// the time that it has waited.
-    fn median_response(&self, now: Time) -> Option<Duration> {
+    /// Returns the quantile over the shards of the time to an answer; that of a shard without an answer
+    /// is the time that it has waited.
+    fn quantile_response(&self, now: Time) -> Option<Duration> {
         let mut times: SmallVec<[Duration; 32]> = self
             .shards
             .iter()
             .filter(|shard| !matches!(shard.state, ShardState::Lost(_)))
             .map(|shard| shard.response.unwrap_or_else(|| now.since(shard.since)))
             .collect();
-        let middle = times.len() / 2;
-        if times.is_empty() {
-            return None;
-        }
-        let (_, median, _) = times.select_nth_unstable(middle);
-        Some(*median)
+        let last = times.len().checked_sub(1)?;
+        let rank = (LOAD_QUANTILE * last as f64).round() as usize;
+        let (_, quantile, _) = times.select_nth_unstable(rank);
+        Some(*quantile)
     }
 
     /// Returns the time of the next look at the job.
