Block signals before anything else starts, and between two of a kind

Found by stop_cuts_no_request and stop_ends_idle_connections, which failed before (killed by the signal).

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -22,10 +22,9 @@
 use crate::logs::{Logs, outcome};
 use crate::metrics::Metrics;
 use crate::settings::{GatewaySettings, HeaderNames, StopSettings};
+use crate::signals::SignalReceiver;
 use crate::{admin, front, leafs};
 
-/// Signal that asks for a planned stop.
-const SIGTERM: i32 = 15;
 /// Most events handled before timers are looked at again.
 const EVENT_BATCH: usize = 64;
 /// Longest time without a look at timers.
@@ -35,21 +34,18 @@
 /// Time between two looks at whether a stop is done.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
-/// Runs a gateway until a planned stop. `updates` tells what the node believes of its surroundings.
+/// Runs a gateway until `stop` asks for a planned stop. `updates` tells what the node believes of its
+/// surroundings.
 ///
 /// # Errors
 ///
 /// If it cannot start.
 pub async fn run(
     settings: GatewaySettings,
-    mut updates: mpsc::UnboundedReceiver<Update>,
+    updates: mpsc::UnboundedReceiver<Update>,
+    stop: SignalReceiver,
 ) -> Result<(), GatewayError> {
     let (events, inbox) = mpsc::unbounded();
-    // The signal must be blocked before any other thread starts, since threads inherit the mask; the
-    // task blocks it when it first runs.
-    spawn(wait_for_stop(events.clone())).detach();
-    sleep(Duration::from_millis(1)).await;
-
     let front = bind("callers", settings.front).await?;
     let readiness = bind("readiness", settings.readiness).await?;
     let operators = bind("operators", settings.admin).await?;
@@ -65,13 +61,8 @@
     ))
     .detach();
     spawn(admin::listen(operators, events.clone())).detach();
-    let sender = events.clone();
-    spawn(async move {
-        while let Some(update) = updates.next().await {
-            send(&sender, Event::Update(update));
-        }
-    })
-    .detach();
+    spawn(pass_on(updates, Event::Update, events.clone())).detach();
+    spawn(pass_on(stop, |()| Event::Stop, events.clone())).detach();
     log::info!(
         vm:% = settings.vm, domain:% = settings.domain,
         callers:% = settings.front, operators:% = settings.admin;
@@ -106,10 +97,13 @@
         .map_err(|error| GatewayError::Bind(what, addr, error))
 }
 
-async fn wait_for_stop(events: EventSender) {
-    match compio::signal::unix::signal(SIGTERM).await {
-        Ok(()) => send(&events, Event::Stop),
-        Err(error) => log::error!("cannot wait for signals: {error}"),
+/// Passes messages on to the hub.
+async fn pass_on<T, F>(mut inbox: mpsc::UnboundedReceiver<T>, wrap: F, events: EventSender)
+where
+    F: Fn(T) -> Event,
+{
+    while let Some(message) = inbox.next().await {
+        send(&events, wrap(message));
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod logs;
 mod metrics;
 mod settings;
+mod signals;
 
 pub use dial::{connect, keep_alive};
 pub use error::GatewayError;
@@ -23,3 +24,4 @@
 pub use hub::run;
 pub use monsoondeal_node::stream::Stream;
 pub use settings::{GatewaySettings, HeaderNames, StopSettings};
+pub use signals::{SignalReceiver, Signals};
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -149,12 +149,13 @@
         };
         thread::spawn(move || {
             let (updates, inbox) = unbounded();
+            let (_never, stop) = unbounded();
             for update in prepare() {
                 updates.unbounded_send(update).expect("an open inbox");
             }
             let runtime = compio::runtime::Runtime::new().expect("a runtime");
             runtime
-                .block_on(monsoondeal_gateway::run(settings, inbox))
+                .block_on(monsoondeal_gateway::run(settings, inbox, stop))
                 .expect("the gateway starts");
         });
         let gateway = Self {
