--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -6,6 +6,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -16,6 +17,7 @@
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use hyper::rt::{Read, ReadBufCursor, Write};
+use socket2::SockRef;
 
 /// The first error of a read, shared by the two layers of a stream.
 type Failure = Rc<Cell<Option<io::ErrorKind>>>;
@@ -52,7 +54,8 @@
     }
 
     async fn shutdown(&mut self) -> io::Result<()> {
-        self.stream.shutdown().await
+        // The runtime would hand this call, which does not block, to a thread of its pool.
+        SockRef::from(&self.stream).shutdown(Shutdown::Write)
     }
 }
 
--- a/programs/monsoondeal/tests/edge.rs
+++ b/programs/monsoondeal/tests/edge.rs
@@ -115,8 +115,8 @@
     idle.read_to_end(&mut rest).expect("the end");
     assert!(rest.is_empty());
     assert!(process.child.wait().expect("the process ends").success());
-    // The platform kills after six seconds.
-    assert!(asked.elapsed() < Duration::from_secs(6));
+    // Requests may be cut in the last sixth of the six seconds before the kill, and none is left then.
+    assert!(asked.elapsed() < Duration::from_secs(5));
 }
 
 #[test]
