Carry version moves out on the direct path

A trial share of 7 % of first calls goes to the new version; each node judges it by its own calls and asks to take the move back; late in its time all traffic goes over and the move is completed. Tests: a bad version gets at most a tenth of the requests and 50, and none after its reversal; a good one is completed in time. Evidence of nodes is not joined.

--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -8,6 +8,7 @@
 use monsoondeal_core::{CallId, LeafId};
 
 use crate::config::Name;
+use crate::shift::MoveDecision;
 
 /// `Token` identifies a caller's request within the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -169,4 +170,6 @@
     Retire(LeafId),
     /// Log a decision on a request.
     Note(Token, Note),
+    /// Ask for a change of a version move's state.
+    Move(MoveDecision),
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use monsoondeal_core::{CallId, FixedMap, LeafId, Time};
+use monsoondeal_moves::Outcome;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
@@ -19,6 +20,7 @@
 use crate::job::{BUSY_RETRY, Job, NO_LEAF_RETRY, ShardState, least_shards};
 use crate::pace::Pace;
 use crate::share::Shares;
+use crate::shift::{MoveOrder, Shifts};
 use crate::split::Splits;
 
 /// Connections assumed for a service that the configuration does not describe.
@@ -130,6 +132,7 @@
     choice: Choice,
     shares: Shares,
     splits: Splits,
+    shifts: Shifts,
     paces: HashMap<Name, Pace>,
     /// Limits on queries, by their first shard.
     admissions: HashMap<Name, Admission>,
@@ -159,6 +162,7 @@
             choice: Choice::default(),
             shares,
             splits: Splits::default(),
+            shifts: Shifts::default(),
             paces: HashMap::new(),
             admissions: HashMap::new(),
             jobs: FixedMap::default(),
@@ -263,6 +267,12 @@
         self.directory.close_domains(domains);
     }
 
+    /// Replaces the version moves that are asked for.
+    pub fn set_moves(&mut self, orders: Vec<MoveOrder>, now: Time, out: &mut Vec<Action>) {
+        self.shifts.set(orders, now);
+        self.decide_moves(now, out);
+    }
+
     /// Returns whether the node knows enough to serve requests.
     pub fn is_ready(&self) -> bool {
         self.config.is_some() && self.knows_leafs && self.knows_domains
@@ -332,6 +342,7 @@
         };
         let response = now.since(call.sent_at);
         self.count_end(&end);
+        self.note_move(&call, &end, response);
         let verdict = self.judge(&call, &end, response, now);
         self.choice.ended(call.leaf, verdict, call.is_overdue, now);
         if let Some(job) = self.jobs.get_mut(&call.token) {
@@ -343,6 +354,7 @@
             self.settle(call.token, now, out);
         }
         self.pump(&call.service, now, out);
+        self.decide_moves(now, out);
     }
 
     /// Notes that a caller has gone. Calls that may be repeated are given up.
@@ -370,6 +382,7 @@
         for id in self.directory.expire(now) {
             self.retire(id, out);
         }
+        self.decide_moves(now, out);
         while let Some(Reverse((at, id))) = self.linger_timers.peek().copied()
             && at <= now
         {
@@ -391,7 +404,8 @@
         let job = self.job_timers.peek().map(|Reverse((at, _))| *at);
         let linger = self.linger_timers.peek().map(|Reverse((at, _))| *at);
         let expiry = self.directory.next_expiry();
-        [job, linger, expiry].into_iter().flatten().min()
+        let shift = self.shifts.next_look();
+        [job, linger, expiry, shift].into_iter().flatten().min()
     }
 
     fn resolve(&mut self, route: &Rc<Route>) -> SmallVec<[Name; 1]> {
@@ -526,7 +540,11 @@
         let shard = &job.shards[at];
         let usable = self.directory.usable(&shard.service);
         let untried = usable.iter().filter(|id| !shard.tried.contains(id));
-        let leafs: SmallVec<[LeafId; 4]> = untried.copied().collect();
+        let untried: SmallVec<[LeafId; 4]> = untried.copied().collect();
+        let is_first = shard.tries == 0;
+        let leafs = self
+            .shifts
+            .choose(&shard.service, untried, &self.directory, is_first, now);
         if leafs.is_empty() {
             self.lose(token, at, "no leaf is left", out);
             return;
@@ -778,6 +796,9 @@
             .into_iter()
             .filter(|id| !shard.tried.contains(id) && !self.choice.is_doubtful(*id, now))
             .collect();
+        let sound = self
+            .shifts
+            .choose(&service, sound, &self.directory, false, now);
         let Some(leaf) = self.pick(&sound, &service, now) else {
             return;
         };
@@ -842,6 +863,7 @@
             return;
         };
         let elapsed = now.since(call.sent_at);
+        self.note_move(&call, &CallEnd::Broken, elapsed);
         let pace = self.paces.get(&call.route);
         let slowness = pace.map_or(1.0, |pace| pace.slowness(elapsed));
         let verdict = Verdict::Abandoned(slowness);
@@ -871,6 +893,26 @@
         }
     }
 
+    /// Counts the end of a call as evidence on the version of its leaf.
+    fn note_move(&mut self, call: &Call, end: &CallEnd, response: Duration) {
+        let failed = match end {
+            CallEnd::Answer(answer) => !answer.is_success(),
+            CallEnd::Broken => true,
+            CallEnd::Refused | CallEnd::Misdirected | CallEnd::Unsent => return,
+        };
+        let pace = self.paces.get(&call.route);
+        let slow = pace.is_some_and(|pace| pace.is_slow(response));
+        let version = self.directory.entry(call.leaf).map(|e| &e.version);
+        let outcome = Outcome { failed, slow };
+        self.shifts
+            .note(&call.service, &call.route, version, outcome);
+    }
+
+    fn decide_moves(&mut self, now: Time, out: &mut Vec<Action>) {
+        let decisions = self.shifts.decide(now);
+        out.extend(decisions.into_iter().map(Action::Move));
+    }
+
     fn count_end(&mut self, end: &CallEnd) {
         match end {
             CallEnd::Answer(_) => {}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod merge;
 mod pace;
 mod share;
+mod shift;
 mod split;
 
 pub use action::{Action, Answer, CallEnd, Inquiry, Note, Reply, Send, Summary, Token};
@@ -26,4 +27,5 @@
 pub use merge::{RECORD_BYTES, top_records};
 pub use pace::Pace;
 pub use share::Shares;
+pub use shift::{MoveDecision, MoveOrder, MoveState};
 pub use split::Splits;
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use monsoondeal_core::{CallId, Time};
 use monsoondeal_edge::{
-    Action, Answer, CallEnd, Config, Edge, EdgeSettings, Gather, Inquiry, LeafEntry, Limits, Name,
-    Note, Repeat, Reply, Route, Send, Service, Summary, Target, Token,
+    Action, Answer, CallEnd, Config, Edge, EdgeSettings, Gather, Inquiry, LeafEntry, Limits,
+    MoveDecision, Name, Note, Repeat, Reply, Route, Send, Service, Summary, Target, Token,
 };
 
 /// Host of all routes.
@@ -118,6 +118,7 @@
     pub abandoned: HashSet<CallId>,
     pub replies: BTreeMap<Token, (Reply, Summary)>,
     pub notes: Vec<Note>,
+    pub decisions: Vec<MoveDecision>,
     next: u64,
 }
 
@@ -137,6 +138,7 @@
             abandoned: HashSet::new(),
             replies: BTreeMap::new(),
             notes: Vec::new(),
+            decisions: Vec::new(),
             next: 0,
         };
         assert!(node.edge.set_config(config));
@@ -164,6 +166,7 @@
                 }
                 Action::Note(_, note) => self.notes.push(note),
                 Action::Retire(_) => {}
+                Action::Move(decision) => self.decisions.push(decision),
             }
         }
     }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -6,7 +6,9 @@
 use futures_channel::{mpsc, oneshot};
 use hyper::{HeaderMap, Method, Uri};
 use monsoondeal_core::CallId;
-use monsoondeal_edge::{CallEnd, Config, EdgeSettings, LeafEntry, Name, Reply, Token};
+use monsoondeal_edge::{
+    CallEnd, Config, EdgeSettings, LeafEntry, MoveDecision, MoveOrder, Name, Reply, Token,
+};
 
 use crate::leafs::Connection;
 
@@ -27,10 +29,15 @@
     ClosedDomains(HashSet<Name>),
     /// Settings of the direct path, read again.
     Settings(EdgeSettings),
+    /// All version moves that are asked for.
+    Moves(Vec<MoveOrder>),
     /// Number of nodes that share the leafs.
     Nodes(usize),
 }
 
+/// Sender of decisions on version moves.
+pub type DecisionSender = mpsc::UnboundedSender<MoveDecision>;
+
 /// Sender of updates.
 pub type UpdateSender = mpsc::UnboundedSender<Update>;
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -16,7 +16,7 @@
 use monsoondeal_edge::{Action, Edge, Inquiry, Removal, Reply, Send, Summary, Token};
 
 use crate::error::GatewayError;
-use crate::event::{Event, EventSender, Inbound, Update, send};
+use crate::event::{DecisionSender, Event, EventSender, Inbound, Update, send};
 use crate::front::FrontState;
 use crate::leafs::Connection;
 use crate::logs::{Logs, outcome};
@@ -35,7 +35,7 @@
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
 /// Runs a gateway until `stop` asks for a planned stop. `updates` tells what the node believes of its
-/// surroundings.
+/// surroundings; `decisions` takes what it decides on version moves.
 ///
 /// # Errors
 ///
@@ -43,6 +43,7 @@
 pub async fn run(
     settings: GatewaySettings,
     updates: mpsc::UnboundedReceiver<Update>,
+    decisions: DecisionSender,
     stop: SignalReceiver,
 ) -> Result<(), GatewayError> {
     let (events, inbox) = mpsc::unbounded();
@@ -82,6 +83,7 @@
         calls: HashMap::new(),
         idle: HashMap::new(),
         stages: settings.stop,
+        decisions,
         stop: Stop::Running,
         close: Some(close),
     };
@@ -139,6 +141,7 @@
     /// Connections without a call, by leaf; the one used last stands last.
     idle: HashMap<LeafId, Vec<Connection>>,
     stages: StopSettings,
+    decisions: DecisionSender,
     stop: Stop,
     /// Ends the listener and idle connections when it is dropped.
     close: Option<oneshot::Sender<()>>,
@@ -263,6 +266,10 @@
                 log::info!(settings:? = settings; "settings reloaded");
                 self.edge.set_settings(settings);
             }
+            Update::Moves(orders) => {
+                log::info!(orders:? = orders; "version moves");
+                self.step(|edge, now, out| edge.set_moves(orders, now, out));
+            }
             Update::Nodes(nodes) => {
                 if nodes != self.edge.nodes() {
                     log::info!(nodes; "number of nodes");
@@ -330,6 +337,12 @@
             Action::Retire(leaf) => {
                 self.idle.remove(&leaf);
             }
+            Action::Move(decision) => {
+                log::info!(decision:? = decision; "version move decided");
+                if self.decisions.unbounded_send(decision).is_err() {
+                    log::error!("a decision on a version move has nowhere to go");
+                }
+            }
             Action::Note(token, note) => {
                 if let Some(caller) = self.requests.get(&token) {
                     let id = String::from_utf8_lossy(&caller.inbound.id);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use dial::{connect, keep_alive};
 pub use error::GatewayError;
-pub use event::{Update, UpdateSender};
+pub use event::{DecisionSender, Update, UpdateSender};
 pub use hub::run;
 pub use monsoondeal_node::stream::Stream;
 pub use settings::{GatewaySettings, HeaderNames, StopSettings};
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -150,12 +150,13 @@
         thread::spawn(move || {
             let (updates, inbox) = unbounded();
             let (_never, stop) = unbounded();
+            let (decisions, _decided) = unbounded();
             for update in prepare() {
                 updates.unbounded_send(update).expect("an open inbox");
             }
             let runtime = compio::runtime::Runtime::new().expect("a runtime");
             runtime
-                .block_on(monsoondeal_gateway::run(settings, inbox, stop))
+                .block_on(monsoondeal_gateway::run(settings, inbox, decisions, stop))
                 .expect("the gateway starts");
         });
         let gateway = Self {
