--- a/programs/monsoondeal/tests/cli.rs
+++ b/programs/monsoondeal/tests/cli.rs
@@ -100,7 +100,7 @@
 /// The operators' page names every setting, key and command of the program.
 #[test]
 fn operators_page_is_complete() {
-    let page = include_str!("../../../docs/operations.md");
+    let page = include_str!("../../../docs/OPERATIONS.md");
     for setting in monsoondeal_config::SETTINGS {
         assert!(
             page.contains(&format!("| `{}` |", setting.name)),
