Write log lines from a thread of their own, and drop what nobody reads

Lines were written to standard output by the thread that serves requests, so that a reader that is slow held up requests. Signals are blocked before that thread starts. logs_without_a_reader_block_nothing

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -15,6 +15,8 @@
 use monsoondeal_core::{CallId, Clock, LeafId, Time};
 use monsoondeal_edge::{Action, Edge, Inquiry, Removal, Reply, Send, Summary, Token};
 
+use monsoondeal_node::signals::SignalReceiver;
+
 use crate::error::GatewayError;
 use crate::event::{DecisionSender, Event, EventSender, Inbound, Update, send};
 use crate::front::FrontState;
@@ -22,7 +24,6 @@
 use crate::logs::{Logs, outcome};
 use crate::metrics::Metrics;
 use crate::settings::{GatewaySettings, HeaderNames, StopSettings};
-use crate::signals::SignalReceiver;
 use crate::{admin, front, leafs};
 
 /// Most events handled before timers are looked at again.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,12 +16,11 @@
 mod logs;
 mod metrics;
 mod settings;
-mod signals;
 
 pub use dial::{connect, keep_alive};
 pub use error::GatewayError;
 pub use event::{DecisionSender, Update, UpdateSender};
 pub use hub::run;
+pub use monsoondeal_node::signals::{SignalReceiver, Signals};
 pub use monsoondeal_node::stream::Stream;
 pub use settings::{GatewaySettings, HeaderNames, StopSettings};
-pub use signals::{SignalReceiver, Signals};
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -25,11 +25,10 @@
 use crate::event::{Event, EventSender, MessageSender, send};
 use crate::metrics::Metrics;
 use crate::peers::{Identity, Outbox};
+use crate::signals::SignalReceiver;
 use crate::store::Store;
 use crate::{admin, callers, leafs, links, peers, store};
 
-/// Signal that asks for a planned stop.
-const SIGTERM: i32 = 15;
 /// Most events handled before timers are looked at again.
 const EVENT_BATCH: usize = 256;
 /// How long a stopping node still accepts connections, so that balancers notice.
@@ -39,18 +38,15 @@
 /// Time between two looks at whether a stop is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
-/// Runs a node until a planned stop.
+/// Runs a node until `stop` asks for a planned stop.
 ///
 /// # Errors
 ///
 /// If it cannot start.
-pub async fn run(settings: NodeSettings) -> Result<(), NodeError> {
+pub async fn run(settings: NodeSettings, stop: SignalReceiver) -> Result<(), NodeError> {
     let clock = Clock::start();
     let (events, inbox) = mpsc::unbounded();
-    // The signal must be blocked before any other thread starts, since threads inherit the mask; the
-    // task blocks it when it first runs.
-    spawn(wait_for_stop(events.clone())).detach();
-    sleep(Duration::from_millis(1)).await;
+    spawn(wait_for_stop(stop, events.clone())).detach();
 
     let callers = bind("callers", settings.callers).await?;
     let peers = bind("peers", settings.peers).await?;
@@ -146,10 +142,9 @@
     listener.local_addr().unwrap_or(wanted)
 }
 
-async fn wait_for_stop(events: EventSender) {
-    match compio::signal::unix::signal(SIGTERM).await {
-        Ok(()) => send(&events, Event::Stop),
-        Err(error) => log::error!("cannot wait for signals: {error}"),
+async fn wait_for_stop(mut stop: SignalReceiver, events: EventSender) {
+    if stop.next().await.is_some() {
+        send(&events, Event::Stop);
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod links;
 mod metrics;
 mod peers;
+pub mod signals;
 pub mod store;
 pub mod stream;
 
--- a/programs/monsoondeal/src/edge.rs
+++ b/programs/monsoondeal/src/edge.rs
@@ -23,6 +23,5 @@
             return ExitCode::from(2);
         }
     };
-    node::start_logs();
-    node::block_on(monsoondeal_platform::run(path, file))
+    node::block_on(|signals| monsoondeal_platform::run(path, file, signals))
 }
--- a/programs/monsoondeal/src/node.rs
+++ b/programs/monsoondeal/src/node.rs
@@ -4,11 +4,17 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use logforth::append::Stdout;
+use logforth::append::asynchronous::AsyncBuilder;
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::JsonLayout;
+use monsoondeal_node::signals::Signals;
 
 use crate::check;
 
+/// Log lines that may wait to be written; further ones are dropped.
+const PENDING_LINES: usize = 4_096;
+
 /// Runs a node with the settings in a file.
 pub(crate) fn run(config: &Path) -> ExitCode {
     let settings = match check::read(config) {
@@ -18,22 +24,29 @@
             return ExitCode::from(2);
         }
     };
-    start_logs();
-    block_on(monsoondeal_node::run(settings))
+    block_on(|signals| monsoondeal_node::run(settings, signals.stop))
 }
 
 /// Sends log lines as JSON to standard output; `RUST_LOG` sets the level.
-pub(crate) fn start_logs() {
+///
+/// A thread of its own writes them. A reader that is slow costs lines, not requests.
+fn start_logs() {
     let filter = RustLogFilterBuilder::from_default_env_or("info").build();
-    logforth::starter_log::stdout()
-        .layout(JsonLayout::default())
-        .filter(filter)
+    let stdout = Stdout::default().with_layout(JsonLayout::default());
+    let lines = AsyncBuilder::new("logs")
+        .buffered_lines_limit(Some(PENDING_LINES))
+        .overflow_drop_incoming()
+        .append(stdout)
+        .build();
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(lines))
         .apply();
 }
 
 /// Runs a daemon to its end.
-pub(crate) fn block_on<F, E>(daemon: F) -> ExitCode
+pub(crate) fn block_on<D, F, E>(daemon: D) -> ExitCode
 where
+    D: FnOnce(Signals) -> F,
     F: Future<Output = Result<(), E>>,
     E: Display,
 {
@@ -44,12 +57,18 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(daemon) {
+    let ran = runtime.block_on(async {
+        let signals = Signals::start().await;
+        start_logs();
+        daemon(signals).await
+    });
+    if let Err(error) = &ran {
+        log::error!("{error}");
+        eprintln!("{error}");
+    }
+    log::logger().flush();
+    match ran {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("{error}");
-            eprintln!("{error}");
-            ExitCode::FAILURE
-        }
+        Err(_) => ExitCode::FAILURE,
     }
 }
--- a/programs/monsoondeal/tests/edge.rs
+++ b/programs/monsoondeal/tests/edge.rs
@@ -25,11 +25,15 @@
 
 impl Process {
     fn start(name: &str, store: &FakeStore) -> Self {
+        Self::start_with_logs(name, store, Stdio::null())
+    }
+
+    fn start_with_logs(name: &str, store: &FakeStore, logs: Stdio) -> Self {
         let addrs = NodeAddrs::free();
         let file = format!("monsoondeal-{name}-{}.conf", std::process::id());
         let settings = std::env::temp_dir().join(file);
         fs::write(&settings, addrs.settings(store.addr)).expect("a settings file");
-        let child = spawn(&settings);
+        let child = spawn(&settings, logs);
         let process = Self {
             child,
             addrs,
@@ -55,11 +59,11 @@
     }
 }
 
-fn spawn(settings: &PathBuf) -> Child {
+fn spawn(settings: &PathBuf, logs: Stdio) -> Child {
     Command::new(env!("CARGO_BIN_EXE_monsoondeal"))
         .arg("edge")
         .env(SETTINGS_VARIABLE, settings)
-        .stdout(Stdio::null())
+        .stdout(logs)
         .spawn()
         .expect("the program starts")
 }
@@ -119,13 +123,23 @@
     assert!(asked.elapsed() < Duration::from_secs(5));
 }
 
+/// Nobody reads the log lines: requests are served all the same. A pipe holds 64 KiB, some 200 lines.
+#[test]
+fn logs_without_a_reader_block_nothing() {
+    let store = store_with_leaf(Duration::ZERO);
+    let process = Process::start_with_logs("logs", &store, Stdio::piped());
+    for _ in 0..1_000 {
+        assert_eq!(status(process.addrs.front, "/p/x"), 200);
+    }
+}
+
 #[test]
 fn kill_and_restart_serves_again() {
     let store = store_with_leaf(Duration::ZERO);
     let mut process = Process::start("kill", &store);
     process.signal("KILL");
     process.child.wait().expect("the process ends");
-    process.child = spawn(&process.settings);
+    process.child = spawn(&process.settings, Stdio::null());
     let front = process.addrs.front;
     wait_until("service", || status(front, "/p/x") == 200);
 }
