--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -8,6 +8,7 @@
 use monsoondeal_core::{CallId, LeafId};
 
 use crate::config::Name;
+use crate::segment::SegmentCall;
 use crate::shift::MoveDecision;
 
 /// `Token` identifies a caller's request within the process.
@@ -25,6 +26,8 @@
     pub path: &'a str,
     /// How long the caller waits; without it the route's timeout holds.
     pub patience: Option<Duration>,
+    /// Set if another node asks for a segment of a query.
+    pub segment: Option<SegmentCall>,
 }
 
 /// `Answer` is a leaf's whole answer.
@@ -36,6 +39,8 @@
     pub headers: HeaderMap,
     /// The leaf's signature.
     pub stamp: Option<Bytes>,
+    /// Signatures of the parts, in the answer of a node that served a segment.
+    pub parts: Vec<Bytes>,
     /// The whole body.
     pub body: Bytes,
 }
@@ -43,7 +48,7 @@
 impl Answer {
     /// Returns whether the leaf served the request.
     pub fn is_success(&self) -> bool {
-        (200..300).contains(&self.status) && self.stamp.is_some()
+        (200..300).contains(&self.status) && (self.stamp.is_some() || !self.parts.is_empty())
     }
 }
 
@@ -79,6 +84,8 @@
     pub budget: Duration,
     /// The call may run at most once: it must not be put on a connection that has been idle for long.
     pub once: bool,
+    /// Set if the call goes to a node, for a segment of the query.
+    pub segment: Option<SegmentCall>,
 }
 
 /// `Summary` tells how a request was served, for the log.
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::config::Name;
+use crate::segment::is_segment;
 
 /// How long a leaf whose entry vanished in doubt is kept. It covers the time within which living leafs
 /// register again, and ends before a leaf that left must have got its last request.
@@ -142,9 +143,9 @@
         let listed: HashSet<Name> = entries.iter().map(|e| e.name.clone()).collect();
         let missing: Vec<Name> = self
             .names
-            .keys()
-            .filter(|name| !listed.contains(*name))
-            .cloned()
+            .iter()
+            .filter(|(name, id)| !listed.contains(*name) && !self.is_peer(**id))
+            .map(|(name, _)| name.clone())
             .collect();
         let mut retired: Vec<LeafId> = entries
             .into_iter()
@@ -188,6 +189,21 @@
         self.leafs.values().filter_map(|leaf| leaf.drop_at).min()
     }
 
+    /// Drops the nodes that serve segments, and returns them.
+    pub fn drop_peers(&mut self) -> Vec<LeafId> {
+        let ids = self.leafs.keys().copied();
+        let peers: Vec<LeafId> = ids.filter(|id| self.is_peer(*id)).collect();
+        for &id in &peers {
+            self.forget(id);
+        }
+        peers
+    }
+
+    fn is_peer(&self, id: LeafId) -> bool {
+        self.entry(id)
+            .is_some_and(|entry| is_segment(&entry.service))
+    }
+
     /// Returns the leafs of a service that may get new work.
     pub fn usable(&self, service: &str) -> SmallVec<[LeafId; 4]> {
         let Some(ids) = self.services.get(service) else {
--- a/crates/edge/src/edge/arrive.rs
+++ b/crates/edge/src/edge/arrive.rs
@@ -5,7 +5,6 @@
 
 use monsoondeal_core::Time;
 use rand::RngExt;
-use smallvec::SmallVec;
 
 use super::{Edge, pace};
 use crate::action::{Action, Inquiry, Reply, Summary, Token};
@@ -13,6 +12,7 @@
 use crate::config::{Name, Route, Target};
 use crate::job::{BUSY_RETRY, Job, NO_LEAF_RETRY, least_shards};
 use crate::pace::Pace;
+use crate::segment::{SegmentCall, digest, is_segment, range, segment_count, segment_name};
 
 /// Share of the objective that a request may be expected to wait for a leaf.
 const QUEUE_SHARE: f64 = 0.5;
@@ -41,11 +41,18 @@
             self.reply_early(token, Reply::NoRoute, summary, out);
             return;
         };
-        let services = self.resolve(route);
-        for service in &services {
+        let Some(services) = self.resolve(route, inquiry.segment.as_ref(), now) else {
+            let reply = Reply::Rejected {
+                reason: "the segment belongs to another configuration",
+                retry_after: NO_CONFIG_RETRY,
+            };
+            self.reply_early(token, reply, Summary::default(), out);
+            return;
+        };
+        for (service, _) in &services {
             self.shares.earn(service, now);
         }
-        if let Some(reply) = self.rejection(route, &services) {
+        if let Some(reply) = self.rejection(route, &services, inquiry.segment.is_some()) {
             let summary = Summary {
                 route: Some(route.name.clone()),
                 version: config.version,
@@ -57,7 +64,8 @@
         }
         let patience = inquiry.patience.unwrap_or(route.timeout);
         let mut job = Job::new(route.clone(), config.version, &services, patience, now);
-        job.usual = pace(&mut self.paces, route).usual();
+        self.shape(&mut job, inquiry.segment.as_ref(), now);
+        job.usual = pace(&mut self.paces, &job.pace, route).usual();
         if let Some(admission) = self.admission(&job) {
             admission.begin(job.usual);
         }
@@ -69,11 +77,58 @@
         self.settle(token, now, out);
     }
 
-    pub(super) fn resolve(&mut self, route: &Rc<Route>) -> SmallVec<[Name; 1]> {
-        match &route.target {
-            Target::Service(service) => SmallVec::from_elem(service.clone(), 1),
-            Target::Split(parts) => self.splits.next(&route.name, parts).into_iter().collect(),
-            Target::FanOut(shards, _) => shards.iter().cloned().collect(),
+    /// Returns the services that a request needs answers of, and the shards that each stands for; `None`
+    /// if the segment that is asked for does not fit the configuration.
+    fn resolve(
+        &mut self,
+        route: &Rc<Route>,
+        segment: Option<&SegmentCall>,
+        now: Time,
+    ) -> Option<Vec<(Name, usize)>> {
+        let shards = match &route.target {
+            Target::Service(service) => return Some(vec![(service.clone(), 1)]),
+            Target::Split(parts) => {
+                let service = self.splits.next(&route.name, parts);
+                return Some(service.into_iter().map(|service| (service, 1)).collect());
+            }
+            Target::FanOut(shards, _) => shards,
+        };
+        if let Some(segment) = segment {
+            let range = segment.range(shards)?;
+            let part = shards[range].iter().map(|shard| (shard.clone(), 1));
+            return Some(part.collect());
+        }
+        if !self.needs_segments(shards) {
+            return Some(shards.iter().map(|shard| (shard.clone(), 1)).collect());
+        }
+        let (digest, count) = (digest(shards), segment_count(shards.len()));
+        let segments = (0..count).map(|index| {
+            let name = segment_name(digest, index);
+            self.place_segment(&name, now);
+            (name, range(index, count, shards.len()).len())
+        });
+        Some(segments.collect())
+    }
+
+    /// Returns whether a query's shards have fewer connections than there are nodes.
+    fn needs_segments(&self, shards: &[Name]) -> bool {
+        let first = shards.first().and_then(|shard| self.service_spec(shard));
+        first.is_some_and(|spec| spec.connections < self.peers.len())
+    }
+
+    /// Notes in a job whether it is cut into segments, or is one.
+    fn shape(&self, job: &mut Job, segment: Option<&SegmentCall>, now: Time) {
+        if let Some(segment) = segment {
+            job.is_part = true;
+            job.answer_by = now + segment.budget;
+            return;
+        }
+        let Target::FanOut(shards, _) = &job.route.target else {
+            return;
+        };
+        if job.shards.iter().any(|shard| is_segment(&shard.service)) {
+            job.digest = Some(digest(shards));
+            job.pace = Name::from(format!("{} by segments", job.route.name));
         }
     }
 
@@ -81,16 +136,22 @@
     ///
     /// Load pattern: all leafs of some shards are down, or what is left of them is behind. Who waits
     /// then for leafs that cannot keep up is late for nothing and holds up others.
-    pub(super) fn rejection(&mut self, route: &Rc<Route>, services: &[Name]) -> Option<Reply> {
+    pub(super) fn rejection(
+        &mut self,
+        route: &Rc<Route>,
+        services: &[(Name, usize)],
+        is_part: bool,
+    ) -> Option<Reply> {
         let needed = match &route.target {
-            Target::FanOut(shards, gather) => least_shards(shards.len(), gather.min_coverage),
+            Target::FanOut(..) if is_part => 1,
+            Target::FanOut(_, gather) => least_shards(services.len(), gather.min_coverage),
             Target::Service(_) | Target::Split(_) => 1,
         };
         let limit = route.objective.mul_f64(QUEUE_SHARE);
         let mut dead = 0;
         let mut behind = 0;
         let mut longest = Duration::ZERO;
-        for service in services {
+        for (service, _) in services {
             let leafs = self.directory.usable(service);
             if leafs.is_empty() {
                 dead += 1;
@@ -117,7 +178,10 @@
         let Target::FanOut(shards, _) = &route.target else {
             return None;
         };
-        let usual = pace(&mut self.paces, route).usual();
+        if is_part {
+            return None;
+        }
+        let usual = pace(&mut self.paces, &route.name, route).usual();
         let admission = self.admissions.get_mut(shards.first()?)?;
         if admission.admits(usual, route.priority) {
             return None;
--- a/crates/edge/src/edge/beliefs.rs
+++ b/crates/edge/src/edge/beliefs.rs
@@ -9,6 +9,7 @@
 use crate::action::Action;
 use crate::config::{Config, Name};
 use crate::directory::{LeafEntry, Removal};
+use crate::segment::{Peer, place};
 use crate::shift::MoveOrder;
 
 impl Edge {
@@ -30,9 +31,26 @@
         self.settings = settings;
     }
 
-    /// Sets the number of nodes that share the leafs.
-    pub fn set_nodes(&mut self, nodes: usize) {
-        self.shares.set_nodes(nodes);
+    /// Sets the nodes that share the leafs and may serve segments of queries.
+    pub fn set_peers(&mut self, mut peers: Vec<Peer>, out: &mut Vec<Action>) {
+        self.shares.set_nodes(peers.len());
+        peers.sort_by(|a, b| a.name.cmp(&b.name));
+        if peers == self.peers {
+            return;
+        }
+        self.peers = peers;
+        for id in self.directory.drop_peers() {
+            self.retire(id, out);
+        }
+    }
+
+    /// Returns the nodes that serve a segment. They are placed when they are first asked for.
+    pub(super) fn place_segment(&mut self, segment: &Name, now: Time) {
+        if self.directory.usable(segment).is_empty() {
+            for entry in place(segment, &self.peers) {
+                self.directory.upsert(entry, now);
+            }
+        }
     }
 
     /// Adds or updates a leaf.
--- a/crates/edge/src/edge/launch.rs
+++ b/crates/edge/src/edge/launch.rs
@@ -8,17 +8,28 @@
 use super::{Call, Edge, Waiter, pace};
 use crate::action::{Action, Send, Token};
 use crate::config::{Name, Service};
+use crate::segment::{SegmentCall, callers, is_segment};
 
 /// Connections assumed for a service that the configuration does not describe.
 const FALLBACK_CONNECTIONS: usize = 8;
+/// Most calls under way at one node that serves a segment.
+const PEER_CALLS: usize = 64;
+/// Time kept for the way back from a node that serves a segment.
+const PEER_WAY: Duration = Duration::from_millis(4);
 /// Time between two looks at a shard that waits for a leaf.
 const WAIT_LOOK: Duration = Duration::from_millis(20);
 
 impl Edge {
     /// Returns the most calls that this node may have under way at one leaf of a service.
     pub(super) fn connection_limit(&self, service: &str) -> usize {
+        if is_segment(service) {
+            return PEER_CALLS;
+        }
         let spec = self.service_spec(service);
         let all = spec.map_or(FALLBACK_CONNECTIONS, |spec| spec.connections);
+        if all < self.peers.len() {
+            return (all / callers()).max(1);
+        }
         self.shares.connections(all)
     }
 
@@ -95,7 +106,7 @@
         else {
             return;
         };
-        let pace = pace(&mut self.paces, &job.route);
+        let pace = pace(&mut self.paces, &job.pace, &job.route);
         let id = CallId(self.next_call);
         self.next_call += 1;
         let shard = &mut job.shards[at];
@@ -107,6 +118,12 @@
         shard.sent_at = now;
         shard.look_at = now + pace.overdue();
         let service = shard.service.clone();
+        let segment = job.digest.map(|digest| SegmentCall {
+            index: at,
+            count: job.shards.len(),
+            digest,
+            budget: job.answer_by.since(now + PEER_WAY),
+        });
         out.push(Action::Send(Send {
             call: id,
             token,
@@ -115,6 +132,7 @@
             addr: entry.addr,
             budget: job.deadline.since(now),
             once: !job.is_idempotent(),
+            segment,
         }));
         self.counts.calls += 1;
         self.choice.sent(leaf);
@@ -125,7 +143,7 @@
                 shard: at,
                 leaf,
                 service: service.clone(),
-                route: job.route.name.clone(),
+                route: job.pace.clone(),
                 sent_at: now,
                 is_overdue: false,
             },
--- a/crates/edge/src/edge/look.rs
+++ b/crates/edge/src/edge/look.rs
@@ -7,6 +7,7 @@
 
 use super::{Edge, LINGER, pace};
 use crate::action::{Action, Note, Reply, Token};
+use crate::segment::is_segment;
 
 impl Edge {
     /// Does what is due.
@@ -62,7 +63,7 @@
         let Some(job) = self.jobs.get_mut(&token) else {
             return;
         };
-        let overdue = pace(&mut self.paces, &job.route).overdue();
+        let overdue = pace(&mut self.paces, &job.pace, &job.route).overdue();
         let is_idempotent = job.is_idempotent();
         let attempts = job.route.attempts;
         let shard = &mut job.shards[at];
@@ -75,7 +76,9 @@
                 self.choice.overdue(call.leaf);
             }
         }
-        if !is_idempotent || shard.runs >= attempts || shard.open.len() > 1 {
+        // The nodes that serve a segment hedge its calls themselves.
+        let is_segment = is_segment(&shard.service);
+        if !is_idempotent || is_segment || shard.runs >= attempts || shard.open.len() > 1 {
             shard.look_at = Time::MAX;
             return;
         }
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -23,6 +23,7 @@
 use crate::directory::Directory;
 use crate::job::Job;
 use crate::pace::Pace;
+use crate::segment::Peer;
 use crate::share::Shares;
 use crate::shift::Shifts;
 use crate::split::Splits;
@@ -120,6 +121,8 @@
     knows_leafs: bool,
     /// Whether the closed failure domains have been listed.
     knows_domains: bool,
+    /// Nodes that may serve segments.
+    peers: Vec<Peer>,
     directory: Directory,
     choice: Choice,
     shares: Shares,
@@ -150,6 +153,7 @@
             config: None,
             knows_leafs: false,
             knows_domains: false,
+            peers: Vec::new(),
             directory: Directory::default(),
             choice: Choice::default(),
             shares,
@@ -217,8 +221,8 @@
     }
 }
 
-fn pace<'a>(paces: &'a mut HashMap<Name, Pace>, route: &Route) -> &'a mut Pace {
-    paces.entry(route.name.clone()).or_insert_with(|| {
+fn pace<'a>(paces: &'a mut HashMap<Name, Pace>, key: &Name, route: &Route) -> &'a mut Pace {
+    paces.entry(key.clone()).or_insert_with(|| {
         let has_shards = matches!(route.target, Target::FanOut(..));
         Pace::new(route.objective, has_shards)
     })
--- a/crates/edge/src/edge/outcome.rs
+++ b/crates/edge/src/edge/outcome.rs
@@ -11,6 +11,7 @@
 use crate::admit::Sign;
 use crate::choice::Verdict;
 use crate::job::ShardState;
+use crate::segment::is_segment;
 
 /// Most calls sent for one shard of a request, refused ones included.
 const MOST_TRIES: usize = 4;
@@ -102,7 +103,9 @@
         if !shard.open.is_empty() {
             return;
         }
-        let may_run = shard.runs == 0 || (is_idempotent && shard.runs < job.route.attempts);
+        // A node that was asked for a segment may have used all attempts at its shards.
+        let may_repeat = is_idempotent && !is_segment(&shard.service);
+        let may_run = shard.runs == 0 || (may_repeat && shard.runs < job.route.attempts);
         if !may_run || shard.tries >= MOST_TRIES {
             self.lose(call.token, call.shard, cause, out);
             return;
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Shard {
     pub(crate) service: Name,
+    /// Shards that it stands for: more than 1 for a segment.
+    pub(crate) weight: usize,
     pub(crate) state: ShardState,
     /// Leafs not to be asked again.
     pub(crate) tried: SmallVec<[LeafId; 4]>,
@@ -67,9 +69,10 @@
 }
 
 impl Shard {
-    fn new(service: Name, now: Time) -> Self {
+    fn new(service: Name, weight: usize, now: Time) -> Self {
         Self {
             service,
+            weight,
             state: ShardState::Open,
             tried: SmallVec::new(),
             open: SmallVec::new(),
@@ -85,6 +88,17 @@
         }
     }
 
+    /// Returns the shards that are in.
+    fn done(&self) -> usize {
+        match &self.state {
+            ShardState::Done(answer) if !answer.parts.is_empty() => {
+                answer.parts.len().min(self.weight)
+            }
+            ShardState::Done(_) => self.weight,
+            ShardState::Open | ShardState::Lost(_) => 0,
+        }
+    }
+
     pub(crate) fn is_open(&self) -> bool {
         self.state == ShardState::Open
     }
@@ -106,6 +120,12 @@
     pub(crate) refused: usize,
     /// What the query counts as in admission.
     pub(crate) usual: Duration,
+    /// Under which name response times of its calls are tracked.
+    pub(crate) pace: Name,
+    /// Set if the calls go to nodes that serve segments: the digest of all shards.
+    pub(crate) digest: Option<u64>,
+    /// Set if another node asked for a segment.
+    pub(crate) is_part: bool,
     /// The timer that is set for the job.
     pub(crate) wake: Time,
 }
@@ -114,7 +134,7 @@
     pub(crate) fn new(
         route: Rc<Route>,
         version: u64,
-        services: &[Name],
+        services: &[(Name, usize)],
         patience: Duration,
         now: Time,
     ) -> Self {
@@ -127,12 +147,15 @@
             deadline: now + patience.min(route.timeout),
             shards: services
                 .iter()
-                .map(|service| Shard::new(service.clone(), now))
+                .map(|(service, weight)| Shard::new(service.clone(), *weight, now))
                 .collect(),
             hedges: 0,
             retries: 0,
             refused: 0,
             usual: Duration::ZERO,
+            pace: route.name.clone(),
+            digest: None,
+            is_part: false,
             wake: Time::MAX,
             route,
         }
@@ -161,6 +184,9 @@
 
     /// Returns the first shard of a query, by which queries for the same shards are counted together.
     pub(crate) fn load_key(&self) -> Option<&Name> {
+        if self.is_part {
+            return None;
+        }
         match &self.route.target {
             Target::FanOut(shards, _) => shards.first(),
             Target::Service(_) | Target::Split(_) => None,
@@ -214,10 +240,17 @@
     }
 
     fn gathered(&self, gather: Gather, now: Time) -> Option<Reply> {
-        let all = self.shards.len();
-        let needed = least_shards(all, gather.min_coverage);
-        let done = self.count(|state| matches!(state, ShardState::Done(_)));
-        let lost = self.count(|state| matches!(state, ShardState::Lost(_)));
+        let all: usize = self.shards.iter().map(|shard| shard.weight).sum();
+        // Another node that asked for a segment decides on the coverage of the whole.
+        let coverage = if self.is_part {
+            0.0
+        } else {
+            gather.min_coverage
+        };
+        let needed = least_shards(all, coverage);
+        let done: usize = self.shards.iter().map(Shard::done).sum();
+        let settled = self.shards.iter().filter(|shard| !shard.is_open());
+        let lost: usize = settled.map(|shard| shard.weight - shard.done()).sum();
         if all - lost < needed {
             return Some(self.refusal("too few shards can be served"));
         }
@@ -235,7 +268,10 @@
                 ShardState::Open | ShardState::Lost(_) => None,
             })
         };
-        let stamps: Vec<Bytes> = answers().filter_map(|a| a.stamp.clone()).collect();
+        let stamps: Vec<Bytes> = answers()
+            .flat_map(|answer| answer.stamp.iter().chain(&answer.parts))
+            .cloned()
+            .collect();
         let body = top_records(answers().map(|a| a.body.as_ref()), gather.top_k);
         Reply::Merged {
             stamps,
@@ -267,13 +303,6 @@
             retry_after,
         }
     }
-
-    fn count<F>(&self, is: F) -> usize
-    where
-        F: Fn(&ShardState) -> bool,
-    {
-        self.shards.iter().filter(|shard| is(&shard.state)).count()
-    }
 }
 
 /// Returns the least number of `all` shards whose share is at or above `coverage`.
--- /dev/null
+++ b/crates/edge/src/segment.rs
@@ -0,0 +1,112 @@
+//! Splitting a query among nodes that each hold the connections of some shards.
+//!
+//! Load pattern: more nodes than a leaf accepts connections, and queries over so many shards that one
+//! node takes too long to send all calls. The shards of a query are cut into segments; a few nodes
+//! serve each segment, the same ones for all nodes, by rendezvous hashing over the listed nodes.
+
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+
+use crate::config::Name;
+use crate::directory::LeafEntry;
+
+/// Shards of one segment, at most.
+const SEGMENT_SHARDS: usize = 12;
+/// Nodes that serve one segment.
+const SEGMENT_NODES: usize = 6;
+/// Begins the names that stand for segments where services are named. No service's name does.
+const PREFIX: char = '\u{1}';
+
+/// `Peer` is a node that may serve segments.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peer {
+    /// Name of its VM.
+    pub name: Name,
+    /// Where it accepts calls of other nodes.
+    pub addr: SocketAddr,
+}
+
+/// `SegmentCall` asks a node for one segment of a query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SegmentCall {
+    /// The segment, from 0.
+    pub index: usize,
+    /// Segments of the query.
+    pub count: usize,
+    /// Digest of the query's shards: the node must know the same ones.
+    pub digest: u64,
+    /// Time until the answer is wanted, complete or not.
+    pub budget: Duration,
+}
+
+impl SegmentCall {
+    /// Returns which of a query's shards the segment covers, if it belongs to them.
+    pub fn range(&self, shards: &[Name]) -> Option<Range<usize>> {
+        let belongs = self.digest == digest(shards)
+            && self.count == segment_count(shards.len())
+            && self.index < self.count;
+        belongs.then(|| range(self.index, self.count, shards.len()))
+    }
+}
+
+/// Returns the number of segments of a query over `shards` shards.
+pub(crate) fn segment_count(shards: usize) -> usize {
+    shards.div_ceil(SEGMENT_SHARDS).max(1)
+}
+
+/// Returns the shards of a segment. Segments differ by one shard at most.
+pub(crate) fn range(index: usize, count: usize, shards: usize) -> Range<usize> {
+    index * shards / count..(index + 1) * shards / count
+}
+
+/// Returns a digest of a query's shards, the same in all nodes.
+pub(crate) fn digest(shards: &[Name]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    shards.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns the name that stands for a segment.
+pub(crate) fn segment_name(digest: u64, index: usize) -> Name {
+    Name::from(format!("{PREFIX}{digest:x}/{index}"))
+}
+
+/// Returns whether a name stands for a segment.
+pub(crate) fn is_segment(name: &str) -> bool {
+    name.starts_with(PREFIX)
+}
+
+/// Returns the nodes that serve a segment.
+pub(crate) fn place(segment: &Name, peers: &[Peer]) -> Vec<LeafEntry> {
+    let mut ranked: Vec<(u64, &Peer)> = peers
+        .iter()
+        .map(|peer| {
+            let mut hasher = DefaultHasher::new();
+            (segment, &peer.name).hash(&mut hasher);
+            (hasher.finish(), peer)
+        })
+        .collect();
+    ranked.sort_by_key(|(score, _)| *score);
+    ranked.truncate(SEGMENT_NODES);
+    let entries = ranked.into_iter().map(|(_, peer)| LeafEntry {
+        name: Name::from(format!("{}{segment}", peer.name)),
+        born: 0,
+        service: segment.clone(),
+        addr: peer.addr,
+        // Closing a failure domain is about leafs, not about nodes.
+        domain: segment.clone(),
+        version: Name::from(""),
+        slots: SEGMENT_SHARDS,
+        draining: false,
+        warmup: Duration::ZERO,
+    });
+    entries.collect()
+}
+
+/// Returns how many nodes may call one leaf of a segment's shards.
+pub(crate) fn callers() -> usize {
+    SEGMENT_NODES
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -7,7 +7,8 @@
 use hyper::{HeaderMap, Method, Uri};
 use monsoondeal_core::CallId;
 use monsoondeal_edge::{
-    CallEnd, Config, EdgeSettings, LeafEntry, MoveDecision, MoveOrder, Name, Reply, Token,
+    CallEnd, Config, EdgeSettings, LeafEntry, MoveDecision, MoveOrder, Name, Peer, Reply,
+    SegmentCall, Token,
 };
 
 use crate::leafs::Connection;
@@ -31,8 +32,8 @@
     Settings(EdgeSettings),
     /// All version moves that are asked for.
     Moves(Vec<MoveOrder>),
-    /// Number of nodes that share the leafs.
-    Nodes(usize),
+    /// All nodes that share the leafs, this one included.
+    Peers(Vec<Peer>),
 }
 
 /// Sender of decisions on version moves.
@@ -54,6 +55,8 @@
     pub(crate) host: String,
     pub(crate) patience: Option<std::time::Duration>,
     pub(crate) body: Bytes,
+    /// Set if another node asks for a segment of a query.
+    pub(crate) segment: Option<SegmentCall>,
 }
 
 /// A message to the hub.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -26,6 +26,7 @@
 
 use crate::event::{Event, EventSender, Inbound, send};
 use crate::leafs::strip_connection_fields;
+use crate::segment;
 use crate::settings::HeaderNames;
 
 /// Body of responses.
@@ -47,6 +48,8 @@
     pub(crate) closing: Rc<Cell<bool>>,
     /// Open connections of callers.
     pub(crate) open: Rc<Cell<usize>>,
+    /// Whether the connections are those of other nodes.
+    is_peer: bool,
     /// Ends idle connections once it resolves.
     pub(crate) close: Shared<oneshot::Receiver<()>>,
     tokens: Rc<Cell<u64>>,
@@ -59,11 +62,21 @@
             limits: Rc::new(Cell::new(Limits::default())),
             closing: Rc::default(),
             open: Rc::default(),
+            is_peer: false,
             close: close.shared(),
             tokens: Rc::default(),
         }
     }
 
+    /// Returns the state for the connections of other nodes. They are not waited for in a stop.
+    pub(crate) fn for_peers(&self) -> Self {
+        Self {
+            is_peer: true,
+            open: Rc::default(),
+            ..self.clone()
+        }
+    }
+
     fn next_token(&self) -> Token {
         let token = Token(self.tokens.get());
         self.tokens.set(token.0 + 1);
@@ -266,7 +279,7 @@
     let id = request.headers().get(&state.names.request_id).cloned();
     let mut response = match read(request, state).await {
         Ok(inbound) => match ask(inbound, events).await {
-            Some(reply) => render(reply, &state.names),
+            Some(reply) => respond(reply, state),
             None => plain(StatusCode::BAD_GATEWAY, "the node is stopping"),
         },
         Err(response) => response,
@@ -283,6 +296,18 @@
     response
 }
 
+/// Returns the response of a reply. Another node is told whether a call has not run as a leaf would.
+fn respond(reply: Reply, state: &FrontState) -> Response<Body> {
+    let is_rejected = matches!(reply, Reply::Rejected { .. });
+    let mut response = render(reply, &state.names);
+    if is_rejected && state.is_peer {
+        let not_run = HeaderValue::from_static("1");
+        let headers = response.headers_mut();
+        headers.insert(state.names.not_run.clone(), not_run);
+    }
+    response
+}
+
 async fn ask(inbound: Inbound, events: &EventSender) -> Option<Reply> {
     let mut waiting = Waiting {
         token: inbound.token,
@@ -307,6 +332,8 @@
     };
     let id = Bytes::copy_from_slice(id.as_bytes());
     let host = host(&parts).ok_or_else(|| plain(StatusCode::BAD_REQUEST, "no host is named"))?;
+    let segment = parts.headers.remove(segment::SEGMENT);
+    let segment = segment.filter(|_| state.is_peer);
     let patience = patience(&parts, names).map_err(|text| plain(StatusCode::BAD_REQUEST, &text))?;
     if body.size_hint().lower() > limit as u64 {
         return Err(too_large(limit));
@@ -330,6 +357,7 @@
         host,
         patience,
         body,
+        segment: segment.as_ref().and_then(segment::decode),
     })
 }
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -50,12 +50,14 @@
     let (events, inbox) = mpsc::unbounded();
     let front = bind("callers", settings.front).await?;
     let readiness = bind("readiness", settings.readiness).await?;
+    let peers = bind("nodes", settings.peers).await?;
     let operators = bind("operators", settings.admin).await?;
     let names = Rc::new(settings.headers.clone());
     let (close, closed) = oneshot::channel();
     let state = FrontState::new(names.clone(), closed);
     let is_ready = Rc::new(Cell::new(false));
     spawn(front::listen(front, state.clone(), events.clone())).detach();
+    spawn(front::listen(peers, state.for_peers(), events.clone())).detach();
     spawn(admin::listen_ready(
         readiness,
         settings.ready_path,
@@ -224,6 +226,7 @@
             host: &inbound.host,
             path: inbound.uri.path(),
             patience: inbound.patience,
+            segment: inbound.segment,
         };
         self.step(|edge, now, out| edge.request(&inquiry, now, out));
     }
@@ -271,11 +274,12 @@
                 log::info!(orders:? = orders; "version moves");
                 self.step(|edge, now, out| edge.set_moves(orders, now, out));
             }
-            Update::Nodes(nodes) => {
+            Update::Peers(peers) => {
+                let nodes = peers.len();
                 if nodes != self.edge.nodes() {
                     log::info!(nodes; "number of nodes");
                 }
-                self.edge.set_nodes(nodes);
+                self.step(|edge, _, out| edge.set_peers(peers, out));
             }
         }
         self.set_ready();
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -13,6 +13,7 @@
 
 use crate::dial;
 use crate::event::{Event, EventSender, Inbound, send};
+use crate::segment;
 use crate::settings::HeaderNames;
 
 /// Largest answer of a leaf, in bytes.
@@ -165,8 +166,12 @@
     *request.headers_mut() = inbound.headers.clone();
     let headers = request.headers_mut();
     headers.insert(names.deadline.clone(), budget(call, names, elapsed)?);
-    let instance = HeaderValue::from_str(&call.instance).ok()?;
-    headers.insert(names.instance.clone(), instance);
+    if let Some(call) = &call.segment {
+        headers.insert(segment::SEGMENT, segment::encode(call)?);
+    } else {
+        let instance = HeaderValue::from_str(&call.instance).ok()?;
+        headers.insert(names.instance.clone(), instance);
+    }
     Some(request)
 }
 
@@ -198,24 +203,38 @@
     if headers.contains_key(&names.not_run) {
         return (connection, CallEnd::Refused);
     }
-    let Some(stamp) = headers.get(&names.stamp) else {
+    let stamp = headers.get(&names.stamp).cloned();
+    let parts = part_stamps(&headers, names);
+    if stamp.is_none() && parts.is_empty() {
         return (None, CallEnd::Broken);
-    };
+    }
     if headers.contains_key(CONTENT_ENCODING) {
         return (None, CallEnd::Broken);
     }
-    let stamp = Bytes::copy_from_slice(stamp.as_bytes());
+    let stamp = stamp.map(|stamp| Bytes::copy_from_slice(stamp.as_bytes()));
     let mut headers = headers;
     strip_connection_fields(&mut headers);
     let answer = Answer {
         status: status.as_u16(),
         headers,
-        stamp: Some(stamp),
+        stamp,
+        parts,
         body: body.to_bytes(),
     };
     (connection, CallEnd::Answer(answer))
 }
 
+/// Returns the signatures of the parts in the answer of a node that served a segment.
+fn part_stamps(headers: &HeaderMap, names: &HeaderNames) -> Vec<Bytes> {
+    let Some(list) = headers.get(&names.parts).and_then(|v| v.to_str().ok()) else {
+        return Vec::new();
+    };
+    let stamps = list.split(',').map(str::trim).filter(|s| !s.is_empty());
+    stamps
+        .map(|stamp| Bytes::copy_from_slice(stamp.as_bytes()))
+        .collect()
+}
+
 fn says_close(headers: &HeaderMap) -> bool {
     headers
         .get_all(hyper::header::CONNECTION)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod leafs;
 mod logs;
 mod metrics;
+mod segment;
 mod settings;
 
 pub use dial::{connect, keep_alive};
--- /dev/null
+++ b/crates/gateway/src/segment.rs
@@ -0,0 +1,33 @@
+//! The header field by which one node asks another for a segment of a query.
+
+use std::time::Duration;
+
+use hyper::header::{HeaderName, HeaderValue};
+use monsoondeal_edge::SegmentCall;
+
+/// Name of the header field. Callers' requests with it are served as if it were absent.
+pub(crate) const SEGMENT: HeaderName = HeaderName::from_static("x-segment");
+
+/// Returns the value of the header field: index, count, digest and budget in microseconds.
+pub(crate) fn encode(call: &SegmentCall) -> Option<HeaderValue> {
+    let SegmentCall {
+        index,
+        count,
+        digest,
+        budget,
+    } = call;
+    let text = format!("{index}/{count}/{digest:x}/{}", budget.as_micros());
+    HeaderValue::from_str(&text).ok()
+}
+
+/// Reads the header field.
+pub(crate) fn decode(value: &HeaderValue) -> Option<SegmentCall> {
+    let mut fields = value.to_str().ok()?.split('/');
+    let call = SegmentCall {
+        index: fields.next()?.parse().ok()?,
+        count: fields.next()?.parse().ok()?,
+        digest: u64::from_str_radix(fields.next()?, 16).ok()?,
+        budget: Duration::from_micros(fields.next()?.parse().ok()?),
+    };
+    fields.next().is_none().then_some(call)
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -54,6 +54,8 @@
     pub ready_path: &'static str,
     /// Where metrics and the state dump are served.
     pub admin: SocketAddr,
+    /// Where other nodes ask for segments of queries.
+    pub peers: SocketAddr,
     /// Names of header fields.
     pub headers: HeaderNames,
     /// The direct path.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -137,6 +137,7 @@
             readiness,
             ready_path: "/ready",
             admin,
+            peers: free_addr(),
             headers: names(),
             edge: EdgeSettings {
                 nodes: 1,
