Split queries among nodes that each hold the connections of some shards

Cause: with more nodes than a leaf accepts connections, each node opened connections to all leafs, which were reset, and sent 90 calls from a quarter of a core. Now the shards of a query are cut into segments of twelve, and six nodes serve each, the same ones for all, by rendezvous hashing over the listed nodes. A segment's node hedges its calls; a lost one is not repeated, since it may have used all attempts.

--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -26,6 +26,8 @@
     pub path: &'a str,
     /// How long the caller waits; without it the route's timeout holds.
     pub patience: Option<Duration>,
+    /// Whether the caller opened its connection for this request.
+    pub is_first: bool,
     /// Set if another node asks for a segment of a query.
     pub segment: Option<SegmentCall>,
 }
--- a/crates/edge/src/edge/arrive.rs
+++ b/crates/edge/src/edge/arrive.rs
@@ -64,7 +64,7 @@
         }
         let patience = inquiry.patience.unwrap_or(route.timeout);
         let mut job = Job::new(route.clone(), config.version, &services, patience, now);
-        self.shape(&mut job, inquiry.segment.as_ref(), now);
+        self.shape(&mut job, inquiry, now);
         job.usual = pace(&mut self.paces, &job.pace, route).usual();
         if let Some(admission) = self.admission(&job) {
             admission.begin(job.usual);
@@ -117,8 +117,11 @@
     }
 
     /// Notes in a job whether it is cut into segments, or is one.
-    fn shape(&self, job: &mut Job, segment: Option<&SegmentCall>, now: Time) {
-        if let Some(segment) = segment {
+    fn shape(&self, job: &mut Job, inquiry: &Inquiry<'_>, now: Time) {
+        if inquiry.is_first {
+            job.note_opening();
+        }
+        if let Some(segment) = &inquiry.segment {
             job.is_part = true;
             job.answer_by = now + segment.budget;
             return;
--- a/crates/edge/src/edge/launch.rs
+++ b/crates/edge/src/edge/launch.rs
@@ -15,7 +15,7 @@
 /// Most calls under way at one node that serves a segment.
 const PEER_CALLS: usize = 64;
 /// Time kept for the way back from a node that serves a segment.
-const PEER_WAY: Duration = Duration::from_millis(4);
+const PEER_WAY: Duration = Duration::from_millis(6);
 /// Time between two looks at a shard that waits for a leaf.
 const WAIT_LOOK: Duration = Duration::from_millis(20);
 
--- a/crates/edge/src/edge/outcome.rs
+++ b/crates/edge/src/edge/outcome.rs
@@ -125,7 +125,9 @@
             return;
         };
         let shard = &mut job.shards[at];
-        if shard.arrived && !self.shares.try_repeat(&call.service, now) {
+        // A segment that was refused has reached no leaf.
+        let is_repeat = shard.arrived && !is_segment(&call.service);
+        if is_repeat && !self.shares.try_repeat(&call.service, now) {
             self.lose(token, at, "no budget for a retry", out);
             return;
         }
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -16,6 +16,9 @@
 const RETURN_SHARE: f64 = 0.05;
 /// Time that is kept for the way back to the caller, besides.
 const RETURN_TIME: Duration = Duration::from_millis(5);
+/// Time that a caller has spent on opening a connection before its request could be read, and that its
+/// objective includes.
+const OPENING_TIME: Duration = Duration::from_millis(6);
 /// Refused calls, as a share of the shards, from which on a query is a sign of overload.
 const REFUSED_SHARE: f64 = 0.15;
 /// Quantile over the shards that tells the load: a few slow leafs stay above it, and shards that have
@@ -161,6 +164,11 @@
         }
     }
 
+    /// Counts the time that the caller took to open its connection.
+    pub(crate) fn note_opening(&mut self) {
+        self.answer_by = (self.answer_by - OPENING_TIME).max(self.began);
+    }
+
     pub(crate) fn is_idempotent(&self) -> bool {
         self.route.repeat == Repeat::Idempotent
     }
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -187,6 +187,7 @@
                 host: HOST,
                 path: &path,
                 patience: Some(patience),
+                is_first: false,
                 segment: None,
             };
             edge.request(&inquiry, now, out);
--- /dev/null
+++ b/crates/edge/tests/segments.rs
@@ -0,0 +1,202 @@
+//! Queries split among nodes that each hold the connections of some shards.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{HOST, Node, config, fan_out, leaf, shard};
+use monsoondeal_edge::{
+    Answer, CallEnd, Inquiry, LeafEntry, Name, Peer, Reply, SegmentCall, Send, Token,
+};
+use rstest::rstest;
+
+const SHARDS: usize = 40;
+
+fn peers(count: usize) -> Vec<Peer> {
+    (0..count)
+        .map(|at| Peer {
+            name: Name::from(format!("vm-{at}")),
+            addr: SocketAddr::from(([127, 0, 0, 1], 1_000 + at as u16)),
+        })
+        .collect()
+}
+
+/// A node in a fleet of `nodes`, over leafs with 30 connections each.
+fn node(nodes: usize) -> Node {
+    let leafs: Vec<LeafEntry> = (0..SHARDS)
+        .flat_map(|at| {
+            let service = shard(at);
+            ["a", "b", "c"].map(|replica| leaf(&format!("{service}-{replica}"), &service))
+        })
+        .collect();
+    let route = fan_out("q", SHARDS, 0.9);
+    let mut node = Node::new(config(1, vec![route], 30), leafs);
+    node.step(|edge, _, out| edge.set_peers(peers(nodes), out));
+    node
+}
+
+/// Returns the answer of a node that served `parts` shards of a segment.
+fn answer(segment: &SegmentCall, parts: usize) -> CallEnd {
+    let stamp = |at| Bytes::from(format!("{}-{at}", segment.index));
+    CallEnd::Answer(Answer {
+        status: 200,
+        parts: (0..parts).map(stamp).collect(),
+        body: Bytes::from_static(&[7; 16]),
+        ..Answer::default()
+    })
+}
+
+fn segment(call: &Send) -> SegmentCall {
+    call.segment.expect("a call for a segment")
+}
+
+/// As many nodes as connections call leafs directly; more nodes split their queries.
+#[rstest]
+#[case::few(30, false)]
+#[case::many(31, true)]
+fn segments_by_number_of_nodes(#[case] nodes: usize, #[case] split: bool) {
+    let mut node = node(nodes);
+    node.request("q");
+    assert!(
+        node.calls
+            .iter()
+            .all(|call| call.segment.is_some() == split)
+    );
+    assert_eq!(node.calls.len() < SHARDS, split);
+}
+
+/// Each shard belongs to one segment, and all nodes ask the same few nodes for a segment.
+#[test]
+fn segments_cover_each_shard_once() {
+    let mut node = node(70);
+    let mut asked: Vec<Vec<SocketAddr>> = vec![Vec::new(); SHARDS];
+    for _ in 0..60 {
+        node.request("q");
+        let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
+        let mut covered = vec![0; SHARDS];
+        for call in node.calls.clone() {
+            let segment = segment(&call);
+            for at in segment.range(&shards).expect("the same shards") {
+                covered[at] += 1;
+                asked[at].push(call.addr);
+            }
+            node.end(call.call, answer(&segment, 1));
+        }
+        assert!(covered.iter().all(|count| *count == 1), "{covered:?}");
+        node.pass(Duration::from_millis(300));
+    }
+    for nodes in &mut asked {
+        nodes.sort();
+        nodes.dedup();
+        // Six nodes with five connections each keep to a leaf's thirty.
+        assert!(nodes.len() <= 6, "{nodes:?}");
+    }
+}
+
+#[rstest]
+#[case::complete(0, Some(0))]
+#[case::parts_missing(3, Some(3))]
+#[case::too_few(5, None)]
+fn segments_true_coverage(#[case] missing: usize, #[case] expected: Option<usize>) {
+    let mut node = node(70);
+    let token = node.request("q");
+    let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
+    for (at, call) in node.calls.clone().into_iter().enumerate() {
+        let segment = segment(&call);
+        let weight = segment.range(&shards).expect("the same shards").len();
+        let parts = if at == 0 { weight - missing } else { weight };
+        node.end(call.call, answer(&segment, parts));
+    }
+    match (node.reply(token), expected) {
+        (
+            Some(Reply::Merged {
+                stamps, missing, ..
+            }),
+            Some(expected),
+        ) => {
+            assert_eq!((*missing, stamps.len()), (expected, SHARDS - expected));
+        }
+        (Some(Reply::Failed(_)), None) => {}
+        (reply, _) => panic!("{reply:?}"),
+    }
+}
+
+/// A node that may have used all attempts at its shards is not followed by another one; one that has
+/// not run the call is.
+#[rstest]
+#[case::broken(CallEnd::Broken, 0)]
+#[case::refused(CallEnd::Refused, 1)]
+#[case::unsent(CallEnd::Unsent, 1)]
+fn segments_lost_node(#[case] end: CallEnd, #[case] repeats: usize) {
+    let mut node = node(70);
+    node.request("q");
+    let calls = node.calls.len();
+    let first = node.calls[0].clone();
+    node.end(first.call, end);
+    assert_eq!(node.calls.len(), calls - 1 + repeats);
+    // A silent node is not hedged either.
+    node.pass(Duration::from_millis(150));
+    assert_eq!(node.calls.len(), calls - 1 + repeats);
+}
+
+/// A node serves the segment that it is asked for, as far as it gets in the time given.
+#[rstest]
+#[case::all(1, 0)]
+#[case::one_shard_silent(0, 1)]
+fn segment_served(#[case] served: usize, #[case] missing: usize) {
+    let mut node = node(70);
+    let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
+    node.request("q");
+    let asked = segment(&node.calls[1]);
+    node.calls.clear();
+
+    let token = Token(1_000);
+    serve(&mut node, token, asked);
+    let range = asked.range(&shards).expect("the same shards");
+    assert_eq!(node.calls.len(), range.len());
+    let silent = shard(range.start);
+    node.serve_except(|name| served == 0 && name.starts_with(&format!("{silent}-")));
+    for _ in 0..20 {
+        node.pass(Duration::from_millis(10));
+    }
+    let Some(Reply::Merged {
+        stamps,
+        missing: left_out,
+        ..
+    }) = node.reply(token)
+    else {
+        panic!("{:?}", node.reply(token));
+    };
+    assert_eq!((*left_out, stamps.len()), (missing, range.len() - missing));
+    let (_, summary) = &node.replies[&token];
+    assert!(summary.elapsed <= asked.budget, "{summary:?}");
+}
+
+/// Parts of one answer come from one configuration: a segment of other shards is refused as not run.
+#[test]
+fn segment_of_another_configuration_is_rejected() {
+    let mut node = node(70);
+    node.request("q");
+    let asked = segment(&node.calls[0]);
+    let next = config(2, vec![fan_out("q", SHARDS - 1, 0.9)], 30);
+    assert!(node.edge.set_config(next));
+    let token = Token(1_000);
+    serve(&mut node, token, asked);
+    assert!(matches!(node.reply(token), Some(Reply::Rejected { .. })));
+}
+
+fn serve(node: &mut Node, token: Token, segment: SegmentCall) {
+    node.step(|edge, now, out| {
+        let inquiry = Inquiry {
+            token,
+            host: HOST,
+            path: "/q/x",
+            patience: Some(Duration::from_secs(2)),
+            is_first: false,
+            segment: Some(segment),
+        };
+        edge.request(&inquiry, now, out);
+    });
+}
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -244,6 +244,7 @@
         host: common::HOST,
         path: "/q/",
         patience: None,
+        is_first: false,
         segment: None,
     };
     fresh.request(&inquiry, node.now, &mut out);
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -55,6 +55,8 @@
     pub(crate) host: String,
     pub(crate) patience: Option<std::time::Duration>,
     pub(crate) body: Bytes,
+    /// Whether it is the first one on its connection.
+    pub(crate) is_first: bool,
     /// Set if another node asks for a segment of a query.
     pub(crate) segment: Option<SegmentCall>,
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -102,6 +102,8 @@
 /// What a connection is doing.
 #[derive(Debug)]
 struct Activity {
+    /// Whether no request has been read yet.
+    is_new: Cell<bool>,
     /// Whether a request is being served.
     busy: Cell<bool>,
     /// When the last response was handed over, or the connection opened.
@@ -113,15 +115,18 @@
 impl Activity {
     fn new() -> Self {
         Self {
+            is_new: Cell::new(true),
             busy: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
             head_since: Cell::new(None),
         }
     }
 
-    fn start(&self) {
+    /// Notes the start of a request and returns whether it is the first one.
+    fn start(&self) -> bool {
         self.busy.set(true);
         self.head_since.set(None);
+        self.is_new.replace(false)
     }
 
     fn end(&self) {
@@ -207,10 +212,10 @@
         activity: activity.clone(),
     };
     let service = service_fn(|request| {
-        activity.start();
+        let is_first = activity.start();
         let (state, events, activity) = (state.clone(), events.clone(), activity.clone());
         async move {
-            let response = handle(request, &state, &events).await;
+            let response = handle(request, is_first, &state, &events).await;
             activity.end();
             Ok::<_, Infallible>(response)
         }
@@ -273,11 +278,12 @@
 
 async fn handle(
     request: Request<Incoming>,
+    is_first: bool,
     state: &FrontState,
     events: &EventSender,
 ) -> Response<Body> {
     let id = request.headers().get(&state.names.request_id).cloned();
-    let mut response = match read(request, state).await {
+    let mut response = match read(request, is_first, state).await {
         Ok(inbound) => match ask(inbound, events).await {
             Some(reply) => respond(reply, state),
             None => plain(StatusCode::BAD_GATEWAY, "the node is stopping"),
@@ -298,7 +304,7 @@
 
 /// Returns the response of a reply. Another node is told whether a call has not run as a leaf would.
 fn respond(reply: Reply, state: &FrontState) -> Response<Body> {
-    let is_rejected = matches!(reply, Reply::Rejected { .. });
+    let is_rejected = matches!(reply, Reply::Rejected { .. } | Reply::NoRoute);
     let mut response = render(reply, &state.names);
     if is_rejected && state.is_peer {
         let not_run = HeaderValue::from_static("1");
@@ -322,7 +328,11 @@
 }
 
 /// Reads a whole request, or returns the response to a malformed one.
-async fn read(request: Request<Incoming>, state: &FrontState) -> Result<Inbound, Response<Body>> {
+async fn read(
+    request: Request<Incoming>,
+    is_first: bool,
+    state: &FrontState,
+) -> Result<Inbound, Response<Body>> {
     let names = &state.names;
     let limit = state.limits.get().body_bytes;
     let (mut parts, body) = request.into_parts();
@@ -357,6 +367,7 @@
         host,
         patience,
         body,
+        is_first,
         segment: segment.as_ref().and_then(segment::decode),
     })
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -226,6 +226,7 @@
             host: &inbound.host,
             path: inbound.uri.path(),
             patience: inbound.patience,
+            is_first: inbound.is_first,
             segment: inbound.segment,
         };
         self.step(|edge, now, out| edge.request(&inquiry, now, out));
