--- a/crates/edge/src/edge/arrive.rs
+++ b/crates/edge/src/edge/arrive.rs
@@ -16,6 +16,8 @@
 
 /// Share of the objective that a request may be expected to wait for a leaf.
 const QUEUE_SHARE: f64 = 0.5;
+/// Time kept for merging many parts on a small share of a core.
+const MERGE_TIME: Duration = Duration::from_millis(5);
 /// Retry advice while no configuration is known.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
@@ -131,6 +133,7 @@
         };
         if job.shards.iter().any(|shard| is_segment(&shard.service)) {
             job.digest = Some(digest(shards));
+            job.answer_by = (job.answer_by - MERGE_TIME).max(job.began);
             job.pace = Name::from(format!("{} by segments", job.route.name));
         }
     }
