Place segments on nodes by their processor share

Cause: a segment's nodes were drawn evenly from 77, of which 67 have 0.12 of a core: twelve calls keep one of those busy four times as long as half a core, and a query waits for its slowest segment. Nodes now tell their share in their entry and are ranked by weighted rendezvous hashing. Test: segments_prefer_large_nodes, seen to fail without the weight (0 of 240).

--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -17,6 +17,9 @@
 const SEGMENT_SHARDS: usize = 12;
 /// Nodes that serve one segment.
 const SEGMENT_NODES: usize = 6;
+/// Exponent on the processor share of a node in its weight. The time that a segment takes falls with
+/// the share, so that small nodes are to serve segments only where there are few larger ones.
+const POWER_EXPONENT: i32 = 3;
 /// Begins the names that stand for segments where services are named. No service's name does.
 const PREFIX: char = '\u{1}';
 
@@ -27,6 +30,8 @@
     pub name: Name,
     /// Where it accepts calls of other nodes.
     pub addr: SocketAddr,
+    /// Processor share of its VM, in cores. Above zero.
+    pub cores: f64,
 }
 
 /// `SegmentCall` asks a node for one segment of a query.
@@ -79,17 +84,16 @@
     name.starts_with(PREFIX)
 }
 
-/// Returns the nodes that serve a segment.
+/// Returns the nodes that serve a segment, by weighted rendezvous hashing.
+///
+/// Load pattern: nodes of unequal size. A segment of twelve calls keeps an eighth of a core busy four
+/// times as long as half a core, and a query waits for its slowest segment.
 pub(crate) fn place(segment: &Name, peers: &[Peer]) -> Vec<LeafEntry> {
-    let mut ranked: Vec<(u64, &Peer)> = peers
+    let mut ranked: Vec<(f64, &Peer)> = peers
         .iter()
-        .map(|peer| {
-            let mut hasher = DefaultHasher::new();
-            (segment, &peer.name).hash(&mut hasher);
-            (hasher.finish(), peer)
-        })
+        .map(|peer| (rank(segment, peer), peer))
         .collect();
-    ranked.sort_by_key(|(score, _)| *score);
+    ranked.sort_by(|(a, _), (b, _)| a.total_cmp(b));
     ranked.truncate(SEGMENT_NODES);
     let entries = ranked.into_iter().map(|(_, peer)| LeafEntry {
         name: Name::from(format!("{}{segment}", peer.name)),
@@ -106,6 +110,16 @@
     entries.collect()
 }
 
+/// Returns the rank of a node for a segment; the lowest ones serve it. A node with twice the weight of
+/// another is ranked before it twice as often as after it.
+fn rank(segment: &Name, peer: &Peer) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (segment, &peer.name).hash(&mut hasher);
+    // In (0, 1].
+    let draw = (hasher.finish() as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+    -draw.ln() / peer.cores.powi(POWER_EXPONENT)
+}
+
 /// Returns how many nodes may call one leaf of a segment's shards.
 pub(crate) fn callers() -> usize {
     SEGMENT_NODES
--- a/crates/edge/tests/segments.rs
+++ b/crates/edge/tests/segments.rs
@@ -19,6 +19,7 @@
         .map(|at| Peer {
             name: Name::from(format!("vm-{at}")),
             addr: SocketAddr::from(([127, 0, 0, 1], 1_000 + at as u16)),
+            cores: 0.25,
         })
         .collect()
 }
@@ -95,6 +96,33 @@
     }
 }
 
+/// In a fleet of ten large nodes and many small ones, almost all segments go to large ones.
+#[test]
+fn segments_prefer_large_nodes() {
+    let mut fleet = peers(77);
+    for peer in &mut fleet[10..] {
+        peer.cores = 0.12;
+    }
+    for peer in &mut fleet[..10] {
+        peer.cores = 0.5;
+    }
+    let large: Vec<SocketAddr> = fleet[..10].iter().map(|peer| peer.addr).collect();
+    let mut node = node(77);
+    node.step(|edge, _, out| edge.set_peers(fleet, out));
+    let mut to_large = 0;
+    let mut all = 0;
+    for _ in 0..60 {
+        node.request("q");
+        for call in node.calls.clone() {
+            all += 1;
+            to_large += usize::from(large.contains(&call.addr));
+            node.end(call.call, answer(&segment(&call), 1));
+        }
+        node.pass(Duration::from_millis(300));
+    }
+    assert!(to_large * 10 >= all * 8, "{to_large} of {all}");
+}
+
 #[rstest]
 #[case::complete(0, Some(0))]
 #[case::parts_missing(3, Some(3))]
