Size segments by the nodes that serve them, keep time by the asking node's own share

Cause: a query's eight segments answer at the same moment, when the time given to them ends; a node with 0.12 of a core needs ten milliseconds to read them, and 5 were kept, so that quick-status (40 ms) was answered at 37 to 47 ms. Large nodes now serve segments of up to 24 shards, so that there are four; the time kept follows the asking node's share. A node that serves a segment accepts any partition into segments of the same shards. Test: segments_by_size_of_nodes (it failed before: four calls whatever the size).

--- a/crates/edge/src/edge/arrive.rs
+++ b/crates/edge/src/edge/arrive.rs
@@ -12,12 +12,18 @@
 use crate::config::{Name, Route, Target};
 use crate::job::{BUSY_RETRY, Job, NO_LEAF_RETRY, least_shards};
 use crate::pace::Pace;
-use crate::segment::{SegmentCall, digest, is_segment, range, segment_count, segment_name};
+use crate::segment::{SegmentCall, digest, is_segment, range, segment_name};
 
 /// Share of the objective that a request may be expected to wait for a leaf.
 const QUEUE_SHARE: f64 = 0.5;
-/// Time kept for merging many parts on a small share of a core.
-const MERGE_TIME: Duration = Duration::from_millis(5);
+/// Processor time kept for merging the answers of segments and writing the response.
+const MERGE_WORK: Duration = Duration::from_micros(600);
+/// Processor time kept for sending the call for a segment and reading its answer.
+const SEGMENT_WORK: Duration = Duration::from_micros(150);
+/// Time kept for the way to a node that serves a segment and back.
+const SEGMENT_WAY: Duration = Duration::from_millis(6);
+/// Least processor share that a node is taken to have, in cores.
+const LEAST_CORES: f64 = 0.05;
 /// Retry advice while no configuration is known.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
@@ -103,7 +109,8 @@
         if !self.needs_segments(shards) {
             return Some(shards.iter().map(|shard| (shard.clone(), 1)).collect());
         }
-        let (digest, count) = (digest(shards), segment_count(shards.len()));
+        let digest = digest(shards);
+        let count = shards.len().div_ceil(self.segment_shards);
         let segments = (0..count).map(|index| {
             let name = segment_name(digest, index);
             self.place_segment(&name, now);
@@ -133,11 +140,18 @@
         };
         if job.shards.iter().any(|shard| is_segment(&shard.service)) {
             job.digest = Some(digest(shards));
-            job.answer_by = (job.answer_by - MERGE_TIME).max(job.began);
+            let segments = job.shards.len() as u32;
+            job.answer_by = (job.answer_by - self.own_time(MERGE_WORK)).max(job.began);
+            job.answer_reserve = SEGMENT_WAY + self.own_time(SEGMENT_WORK * segments);
             job.pace = Name::from(format!("{} by segments", job.route.name));
         }
     }
 
+    /// Returns how long this node takes for an amount of processor time.
+    fn own_time(&self, work: Duration) -> Duration {
+        work.div_f64(self.settings.cores.clamp(LEAST_CORES, 1.0))
+    }
+
     /// Returns the rejection of a request that cannot be served in time.
     ///
     /// Load pattern: all leafs of some shards are down, or what is left of them is behind. Who waits
--- a/crates/edge/src/edge/beliefs.rs
+++ b/crates/edge/src/edge/beliefs.rs
@@ -9,7 +9,7 @@
 use crate::action::Action;
 use crate::config::{Config, Name};
 use crate::directory::{LeafEntry, Removal};
-use crate::segment::{Peer, place};
+use crate::segment::{Peer, place, segment_shards};
 use crate::shift::MoveOrder;
 
 impl Edge {
@@ -38,6 +38,7 @@
         if peers == self.peers {
             return;
         }
+        self.segment_shards = segment_shards(&peers);
         self.peers = peers;
         for id in self.directory.drop_peers() {
             self.retire(id, out);
--- a/crates/edge/src/edge/launch.rs
+++ b/crates/edge/src/edge/launch.rs
@@ -14,8 +14,6 @@
 const FALLBACK_CONNECTIONS: usize = 8;
 /// Most calls under way at one node that serves a segment.
 const PEER_CALLS: usize = 64;
-/// Time kept for the way back from a node that serves a segment.
-const PEER_WAY: Duration = Duration::from_millis(6);
 /// Time between two looks at a shard that waits for a leaf.
 const WAIT_LOOK: Duration = Duration::from_millis(20);
 
@@ -122,7 +120,7 @@
             index: at,
             count: job.shards.len(),
             digest,
-            budget: job.answer_by.since(now + PEER_WAY),
+            budget: job.answer_by.since(now + job.answer_reserve),
         });
         out.push(Action::Send(Send {
             call: id,
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -23,7 +23,7 @@
 use crate::directory::Directory;
 use crate::job::Job;
 use crate::pace::Pace;
-use crate::segment::Peer;
+use crate::segment::{Peer, segment_shards};
 use crate::share::Shares;
 use crate::shift::Shifts;
 use crate::split::Splits;
@@ -42,6 +42,8 @@
     pub repeat_slack: f64,
     /// Factor on the rate that a cold leaf bears.
     pub cold_factor: f64,
+    /// Processor share of the node, in cores.
+    pub cores: f64,
     /// Seed of the choice between alike leafs.
     pub seed: u64,
 }
@@ -53,6 +55,7 @@
             repeat_ratio: 0.1,
             repeat_slack: 10.0,
             cold_factor: 1.0,
+            cores: 1.0,
             seed: 1,
         }
     }
@@ -123,6 +126,8 @@
     knows_domains: bool,
     /// Nodes that may serve segments.
     peers: Vec<Peer>,
+    /// Most shards of one segment.
+    segment_shards: usize,
     directory: Directory,
     choice: Choice,
     shares: Shares,
@@ -154,6 +159,7 @@
             knows_leafs: false,
             knows_domains: false,
             peers: Vec::new(),
+            segment_shards: segment_shards(&[]),
             directory: Directory::default(),
             choice: Choice::default(),
             shares,
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -127,6 +127,8 @@
     pub(crate) pace: Name,
     /// Set if the calls go to nodes that serve segments: the digest of all shards.
     pub(crate) digest: Option<u64>,
+    /// Time kept between the answers of segments and the reply.
+    pub(crate) answer_reserve: Duration,
     /// Set if another node asked for a segment.
     pub(crate) is_part: bool,
     /// The timer that is set for the job.
@@ -158,6 +160,7 @@
             usual: Duration::ZERO,
             pace: route.name.clone(),
             digest: None,
+            answer_reserve: Duration::ZERO,
             is_part: false,
             wake: Time::MAX,
             route,
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -13,8 +13,12 @@
 use crate::config::Name;
 use crate::directory::LeafEntry;
 
+/// Shards of one segment for each core of the nodes that serve it.
+const SHARDS_PER_CORE: f64 = 48.0;
+/// Shards of one segment, at least: smaller ones cost the asking node more calls than they save.
+const LEAST_SHARDS: usize = 12;
 /// Shards of one segment, at most.
-const SEGMENT_SHARDS: usize = 12;
+const MOST_SHARDS: usize = 24;
 /// Nodes that serve one segment.
 const SEGMENT_NODES: usize = 6;
 /// Exponent on the processor share of a node in its weight. The time that a segment takes falls with
@@ -50,16 +54,22 @@
 impl SegmentCall {
     /// Returns which of a query's shards the segment covers, if it belongs to them.
     pub fn range(&self, shards: &[Name]) -> Option<Range<usize>> {
-        let belongs = self.digest == digest(shards)
-            && self.count == segment_count(shards.len())
-            && self.index < self.count;
+        let belongs =
+            self.digest == digest(shards) && self.count <= shards.len() && self.index < self.count;
         belongs.then(|| range(self.index, self.count, shards.len()))
     }
 }
 
-/// Returns the number of segments of a query over `shards` shards.
-pub(crate) fn segment_count(shards: usize) -> usize {
-    shards.div_ceil(SEGMENT_SHARDS).max(1)
+/// Returns the most shards of one segment.
+///
+/// The time that a query takes is that of the calls at the node of a segment and of the segments at the
+/// asking node, which may be a small one: where larger nodes serve the segments, fewer ones do.
+pub(crate) fn segment_shards(peers: &[Peer]) -> usize {
+    let mut cores: Vec<f64> = peers.iter().map(|peer| peer.cores).collect();
+    cores.sort_by(|a, b| b.total_cmp(a));
+    let serving = cores.get(SEGMENT_NODES - 1).or(cores.last());
+    let shards = serving.map_or(0.0, |cores| cores * SHARDS_PER_CORE);
+    (shards as usize).clamp(LEAST_SHARDS, MOST_SHARDS)
 }
 
 /// Returns the shards of a segment. Segments differ by one shard at most.
@@ -103,7 +113,7 @@
         // Closing a failure domain is about leafs, not about nodes.
         domain: segment.clone(),
         version: Name::from(""),
-        slots: SEGMENT_SHARDS,
+        slots: MOST_SHARDS,
         draining: false,
         warmup: Duration::ZERO,
     });
--- a/crates/edge/tests/segments.rs
+++ b/crates/edge/tests/segments.rs
@@ -123,6 +123,25 @@
     assert!(to_large * 10 >= all * 8, "{to_large} of {all}");
 }
 
+/// Larger nodes serve larger segments, so that a small node that asks has fewer calls.
+#[rstest]
+#[case::small(0.12, 4)]
+#[case::quarter(0.25, 4)]
+#[case::half(0.5, 2)]
+fn segments_by_size_of_nodes(#[case] cores: f64, #[case] expected: usize) {
+    let mut fleet = peers(70);
+    for peer in &mut fleet[..10] {
+        peer.cores = cores;
+    }
+    for peer in &mut fleet[10..] {
+        peer.cores = 0.12;
+    }
+    let mut node = node(70);
+    node.step(|edge, _, out| edge.set_peers(fleet, out));
+    node.request("q");
+    assert_eq!(node.calls.len(), expected);
+}
+
 #[rstest]
 #[case::complete(0, Some(0))]
 #[case::parts_missing(3, Some(3))]
