Let nodes follow a few readers of the store instead of each watching it

In a failure domain of six nodes or more now two (one more for 32) read the store, the largest first; the others take its changes from one of them by WebSocket and CBOR. Readers prove each second that the store answers, and cut their followers off when it does not; a node whose source is silent for 1.2 s or gone tries others, and reads the store itself within 2.5 s of the last message. Smaller domains read the store as before.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Name of a service, route or leaf. Cloning it is cheap.
 pub type Name = Rc<str>;
 
 /// `Repeat` says whether a request may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub enum Repeat {
     /// The request is idempotent: it may be hedged and retried.
     Idempotent,
@@ -17,7 +19,7 @@
 }
 
 /// `Gather` says how the answers of shards become one response.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Gather {
     /// Most records of a response.
     pub top_k: usize,
@@ -26,7 +28,7 @@
 }
 
 /// `Target` is where the requests of a route go.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub enum Target {
     /// One leaf of a service.
     Service(Name),
@@ -37,7 +39,7 @@
 }
 
 /// `Route` says how requests under one path prefix are served.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Route {
     /// Name, unique in a configuration.
     pub name: Name,
@@ -60,7 +62,7 @@
 }
 
 /// `Service` holds what the configuration says of a service's leafs.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Service {
     /// Connections that one leaf accepts from all nodes together.
     pub connections: usize,
@@ -71,7 +73,7 @@
 }
 
 /// `Limits` bound what a caller may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct Limits {
     /// Largest head of a request, in bytes.
     pub head_bytes: usize,
@@ -95,7 +97,7 @@
 }
 
 /// `Config` is one version of the configuration.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Config {
     /// Version; a later configuration has a higher one.
     pub version: u64,
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use monsoondeal_core::{FixedMap, LeafId, Time};
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::config::Name;
@@ -21,7 +22,7 @@
 const DOUBT_LEAST: usize = 4;
 
 /// `LeafEntry` is what a leaf says of itself in the registry.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct LeafEntry {
     /// Name of the leaf, unique at a time.
     pub name: Name,
--- a/crates/edge/src/edge/beliefs.rs
+++ b/crates/edge/src/edge/beliefs.rs
@@ -15,12 +15,16 @@
 impl Edge {
     /// Puts a configuration in force unless a newer one is. Returns whether it was put in force.
     /// Requests under way keep the one that they began with.
-    pub fn set_config(&mut self, config: Config) -> bool {
+    pub fn set_config<C>(&mut self, config: C) -> bool
+    where
+        C: Into<Rc<Config>>,
+    {
+        let config = config.into();
         let is_older = |held: &Rc<Config>| held.version >= config.version;
         if self.config.as_ref().is_some_and(is_older) {
             return false;
         }
-        self.config = Some(Rc::new(config));
+        self.config = Some(config);
         true
     }
 
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -10,6 +10,8 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::config::Name;
 use crate::directory::LeafEntry;
 
@@ -28,12 +30,16 @@
 const PREFIX: char = '\u{1}';
 
 /// `Peer` is a node that may serve segments.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Peer {
     /// Name of its VM.
     pub name: Name,
+    /// Failure domain of its VM.
+    pub domain: Name,
     /// Where it accepts calls of other nodes.
     pub addr: SocketAddr,
+    /// Where it accepts nodes that follow it.
+    pub updates: SocketAddr,
     /// Processor share of its VM, in cores. Above zero.
     pub cores: f64,
 }
--- a/crates/edge/src/shift.rs
+++ b/crates/edge/src/shift.rs
@@ -10,6 +10,7 @@
 
 use monsoondeal_core::{LeafId, Time};
 use monsoondeal_moves::{Grant, Guard, Outcome, VerdictSettings};
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::config::Name;
@@ -23,7 +24,7 @@
 const COMPLETE_PART: f64 = 0.75;
 
 /// `MoveState` is how far a version move has come, as all nodes know it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub enum MoveState {
     /// It is asked for, and no node has noted that it runs.
     Asked,
@@ -36,7 +37,7 @@
 }
 
 /// `MoveOrder` asks to move a service to another version of its leafs.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct MoveOrder {
     /// The service.
     pub service: Name,
--- a/crates/edge/tests/segments.rs
+++ b/crates/edge/tests/segments.rs
@@ -19,6 +19,8 @@
         .map(|at| Peer {
             name: Name::from(format!("vm-{at}")),
             addr: SocketAddr::from(([127, 0, 0, 1], 1_000 + at as u16)),
+            domain: Name::from("a"),
+            updates: SocketAddr::from(([127, 0, 0, 1], 2_000 + at as u16)),
             cores: 0.25,
         })
         .collect()
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -1,6 +1,7 @@
 //! What tasks tell the hub.
 
 use std::collections::HashSet;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use futures_channel::{mpsc, oneshot};
@@ -11,13 +12,15 @@
     SegmentCall, Token,
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::leafs::Connection;
 
 /// `Update` changes what the node believes of its surroundings.
-#[derive(Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Update {
     /// A version of the configuration.
-    Config(Box<Config>),
+    Config(Rc<Config>),
     /// All leafs, after which only changes are told.
     Leafs(Vec<LeafEntry>),
     /// A leaf that is new or says something new.
@@ -28,14 +31,33 @@
     RegistryLost,
     /// All failure domains that are closed.
     ClosedDomains(HashSet<Name>),
-    /// Settings of the direct path, read again.
+    /// Settings of the direct path, read again. They are each node's own.
+    #[serde(skip)]
     Settings(EdgeSettings),
     /// All version moves that are asked for.
     Moves(Vec<MoveOrder>),
     /// All nodes that share the leafs, this one included.
     Peers(Vec<Peer>),
+    /// Whether all kinds of the store are followed and it answered when it was asked for a sign of life.
+    /// It is each node's own view.
+    #[serde(skip)]
+    Contact(bool),
 }
 
+/// `Reading` says what the node wants of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// Nothing: its updates come from another node.
+    Off,
+    /// All updates.
+    On,
+    /// All updates, and [`Update::Contact`] each second: other nodes rely on them.
+    Proven,
+}
+
+/// Sender of what is wanted of the store.
+pub type ReadingSender = mpsc::UnboundedSender<Reading>;
+
 /// Sender of decisions on version moves.
 pub type DecisionSender = mpsc::UnboundedSender<MoveDecision>;
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -18,11 +18,12 @@
 use monsoondeal_node::signals::SignalReceiver;
 
 use crate::error::GatewayError;
-use crate::event::{DecisionSender, Event, EventSender, Inbound, Update, send};
+use crate::event::{DecisionSender, Event, EventSender, Inbound, ReadingSender, Update, send};
 use crate::front::FrontState;
 use crate::leafs::Connection;
 use crate::logs::{Logs, outcome};
 use crate::metrics::Metrics;
+use crate::relay::Relay;
 use crate::settings::{GatewaySettings, HeaderNames, StopSettings};
 use crate::{admin, front, leafs};
 
@@ -36,7 +37,8 @@
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
 /// Runs a gateway until `stop` asks for a planned stop. `updates` tells what the node believes of its
-/// surroundings; `decisions` takes what it decides on version moves.
+/// surroundings as far as it is read from the store, `reading` takes what is wanted of the store, and
+/// `decisions` what is decided on version moves.
 ///
 /// # Errors
 ///
@@ -44,6 +46,7 @@
 pub async fn run(
     settings: GatewaySettings,
     updates: mpsc::UnboundedReceiver<Update>,
+    reading: ReadingSender,
     decisions: DecisionSender,
     stop: SignalReceiver,
 ) -> Result<(), GatewayError> {
@@ -52,6 +55,7 @@
     let readiness = bind("readiness", settings.readiness).await?;
     let peers = bind("nodes", settings.peers).await?;
     let operators = bind("operators", settings.admin).await?;
+    let followers = bind("followers", settings.updates).await?;
     let names = Rc::new(settings.headers.clone());
     let (close, closed) = oneshot::channel();
     let state = FrontState::new(names.clone(), closed);
@@ -65,7 +69,7 @@
     ))
     .detach();
     spawn(admin::listen(operators, events.clone())).detach();
-    spawn(pass_on(updates, Event::Update, events.clone())).detach();
+    Relay::start(&settings.vm, followers, updates, reading, events.clone());
     spawn(pass_on(stop, |()| Event::Stop, events.clone())).detach();
     log::info!(
         vm:% = settings.vm, domain:% = settings.domain,
@@ -237,7 +241,7 @@
             Update::Config(config) => {
                 let (version, limits) = (config.version, config.limits);
                 let routes = config.route_count();
-                if self.edge.set_config(*config) {
+                if self.edge.set_config(config) {
                     self.front.limits.set(limits);
                     log::info!(version, routes; "configuration in force");
                 }
@@ -275,6 +279,7 @@
                 log::info!(orders:? = orders; "version moves");
                 self.step(|edge, now, out| edge.set_moves(orders, now, out));
             }
+            Update::Contact(_) => {}
             Update::Peers(peers) => {
                 let nodes = peers.len();
                 if nodes != self.edge.nodes() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,12 +15,13 @@
 mod leafs;
 mod logs;
 mod metrics;
+mod relay;
 mod segment;
 mod settings;
 
 pub use dial::{connect, keep_alive};
 pub use error::GatewayError;
-pub use event::{DecisionSender, Update, UpdateSender};
+pub use event::{DecisionSender, Reading, ReadingSender, Update, UpdateSender};
 pub use hub::run;
 pub use monsoondeal_node::signals::{SignalReceiver, Signals};
 pub use monsoondeal_node::stream::Stream;
--- /dev/null
+++ b/crates/gateway/src/relay/link.rs
@@ -0,0 +1,75 @@
+//! Connections between a node that reads the store and those that follow it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use compio::runtime::spawn;
+use compio::time::timeout;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use futures_util::future::select;
+use monsoondeal_node::frame;
+
+use super::{RelayEvent, RelaySender};
+use crate::event::Update;
+
+/// Longest time to open a connection.
+const OPEN_LIMIT: Duration = Duration::from_secs(1);
+/// Frames that may wait for a follower. One that is further behind is cut off.
+const QUEUE_FRAMES: usize = 64;
+
+/// Sender of encoded frames to a follower.
+pub(super) type FrameSender = mpsc::Sender<Bytes>;
+
+/// Accepts nodes that follow this one until the process ends.
+pub(super) async fn listen(listener: TcpListener, events: RelaySender) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => spawn(serve(stream, events.clone())).detach(),
+            Err(error) => log::warn!("cannot accept a node: {error}"),
+        }
+    }
+}
+
+/// Hands a follower to the relay and writes frames to it until either side ends.
+async fn serve(stream: TcpStream, events: RelaySender) {
+    let accepting = tokio_tungstenite::accept_async(frame::wrap(stream));
+    let Ok(Ok(socket)) = timeout(OPEN_LIMIT, accepting).await else {
+        log::debug!("a connection of a node was not opened");
+        return;
+    };
+    let (sender, frames) = mpsc::channel(QUEUE_FRAMES);
+    send(&events, RelayEvent::Follower(sender));
+    let (mut sink, mut stream) = socket.split();
+    let reading = std::pin::pin!(frame::read_all(&mut stream, |_: ()| ()));
+    let writing = std::pin::pin!(frame::write_frames(&mut sink, frames));
+    select(reading, writing).await;
+}
+
+/// Follows a node until the task is dropped or the connection ends. `link` marks its events.
+pub(super) async fn follow(addr: SocketAddr, link: u64, events: RelaySender) {
+    let opening = async {
+        let stream = TcpStream::connect(addr).await.ok()?;
+        let url = format!("ws://{addr}/updates");
+        let limits = Some(frame::limits());
+        let opened =
+            tokio_tungstenite::client_async_with_config(url, frame::wrap(stream), limits).await;
+        opened.ok().map(|(socket, _)| socket)
+    };
+    if let Ok(Some(socket)) = timeout(OPEN_LIMIT, opening).await {
+        let (_sink, mut stream) = socket.split();
+        frame::read_all(&mut stream, |updates: Vec<Update>| {
+            send(&events, RelayEvent::Heard(link, updates));
+        })
+        .await;
+    }
+    send(&events, RelayEvent::LinkEnded(link));
+}
+
+fn send(events: &RelaySender, event: RelayEvent) {
+    if events.unbounded_send(event).is_err() {
+        log::debug!("an event of a node came after the relay ended");
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -56,6 +56,8 @@
     pub admin: SocketAddr,
     /// Where other nodes ask for segments of queries.
     pub peers: SocketAddr,
+    /// Where other nodes ask for updates.
+    pub updates: SocketAddr,
     /// Names of header fields.
     pub headers: HeaderNames,
     /// The direct path.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -4,8 +4,9 @@
 use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, mpsc};
+use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use monsoondeal_edge::{
     Config, EdgeSettings, LeafEntry, Limits, Name, Repeat, Route, Service, Target,
 };
-use monsoondeal_gateway::{GatewaySettings, HeaderNames, StopSettings, Update};
+use monsoondeal_gateway::{GatewaySettings, HeaderNames, Reading, StopSettings, Update};
 use socket2::SockRef;
 
 /// Longest time for a test to wait for anything.
@@ -108,18 +109,32 @@
     }
 }
 
-fn free_addr() -> SocketAddr {
+pub fn free_addr() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("an address")
 }
 
+/// Returns the name of the VM that nodes follow at an address.
+pub fn vm_name(follow_addr: SocketAddr) -> String {
+    format!("vm-{}", follow_addr.port())
+}
+
 /// `Gateway` is a gateway that runs until the test process ends.
 pub struct Gateway {
     pub front: SocketAddr,
     pub readiness: SocketAddr,
     pub admin: SocketAddr,
+    /// Where other nodes follow it.
+    pub updates: SocketAddr,
+    /// What it wants of the store, oldest first.
+    readings: Arc<Mutex<Vec<Reading>>>,
+    /// Takes updates as if they were read from the store.
+    told: mpsc::Sender<Telling>,
 }
 
+/// Makes updates in the gateway's thread.
+pub type Telling = Box<dyn FnOnce() -> Vec<Update> + Send>;
+
 impl Gateway {
     /// Starts a gateway that knows nothing.
     pub fn start() -> Self {
@@ -127,7 +142,15 @@
     }
 
     /// Starts a gateway that is told the updates that `prepare` returns.
-    fn start_with<F>(prepare: F) -> Self
+    pub fn start_with<F>(prepare: F) -> Self
+    where
+        F: FnOnce() -> Vec<Update> + Send + 'static,
+    {
+        Self::start_at(free_addr(), prepare)
+    }
+
+    /// Starts a gateway that other nodes follow at an address.
+    pub fn start_at<F>(follow_addr: SocketAddr, prepare: F) -> Self
     where
         F: FnOnce() -> Vec<Update> + Send + 'static,
     {
@@ -138,6 +161,7 @@
             ready_path: "/ready",
             admin,
             peers: free_addr(),
+            updates: follow_addr,
             headers: names(),
             edge: EdgeSettings {
                 nodes: 1,
@@ -146,29 +170,70 @@
             },
             stop: StopSettings::default(),
             domain: "a".to_owned(),
-            vm: "vm".to_owned(),
+            vm: vm_name(follow_addr),
         };
+        let (told, tellings) = mpsc::channel::<Telling>();
+        let readings: Arc<Mutex<Vec<Reading>>> = Arc::default();
+        let noted = readings.clone();
         thread::spawn(move || {
             let (updates, inbox) = unbounded();
             let (_never, stop) = unbounded();
             let (decisions, _decided) = unbounded();
+            let (reading, mut wanted) = unbounded();
             for update in prepare() {
                 updates.unbounded_send(update).expect("an open inbox");
             }
             let runtime = compio::runtime::Runtime::new().expect("a runtime");
-            runtime
-                .block_on(monsoondeal_gateway::run(settings, inbox, decisions, stop))
-                .expect("the gateway starts");
+            let tell = async move {
+                loop {
+                    while let Ok(reading) = wanted.try_recv() {
+                        noted.lock().expect("no panic while locked").push(reading);
+                    }
+                    for update in tellings.try_iter().flat_map(|telling| telling()) {
+                        updates.unbounded_send(update).expect("an open inbox");
+                    }
+                    compio::time::sleep(Duration::from_millis(5)).await;
+                }
+            };
+            runtime.block_on(async move {
+                compio::runtime::spawn(tell).detach();
+                monsoondeal_gateway::run(settings, inbox, reading, decisions, stop)
+                    .await
+                    .expect("the gateway starts");
+            });
         });
         let gateway = Self {
             front,
             readiness,
             admin,
+            updates: follow_addr,
+            readings,
+            told,
         };
         gateway.wait_until_listening();
         gateway
     }
 
+    /// Tells updates as if they were read from the store.
+    pub fn tell<F>(&self, telling: F)
+    where
+        F: FnOnce() -> Vec<Update> + Send + 'static,
+    {
+        self.told
+            .send(Box::new(telling))
+            .expect("a running gateway");
+    }
+
+    /// Returns what the gateway wants of the store.
+    pub fn reading(&self) -> Option<Reading> {
+        self.readings().last().copied()
+    }
+
+    /// Returns all that it has wanted.
+    pub fn readings(&self) -> Vec<Reading> {
+        self.readings.lock().expect("no panic while locked").clone()
+    }
+
     /// Starts a gateway with one route, `/r/`, to a service with these leafs.
     pub fn with_leafs(repeat: Repeat, leafs: &[&Leaf]) -> Self {
         let addrs: Vec<SocketAddr> = leafs.iter().map(|leaf| leaf.addr).collect();
@@ -177,7 +242,7 @@
             vec![
                 Update::Leafs(entries.collect()),
                 Update::ClosedDomains(HashSet::new()),
-                Update::Config(Box::new(config(repeat))),
+                Update::Config(Rc::new(config(repeat))),
             ]
         });
         gateway.wait_until_ready();
@@ -188,7 +253,7 @@
         wait_until(|| TcpStream::connect(self.admin).is_ok());
     }
 
-    fn wait_until_ready(&self) {
+    pub fn wait_until_ready(&self) {
         wait_until(|| self.is_ready());
     }
 
@@ -203,10 +268,12 @@
 
     /// Sends a request on a connection of its own and returns the whole response.
     pub fn request(&self, id: &str) -> String {
-        ask(
-            self.front,
-            &request_text(id, "/r/x", "connection: close\r\n"),
-        )
+        self.request_path(id, "/r/x")
+    }
+
+    /// Sends a request for a path on a connection of its own and returns the whole response.
+    pub fn request_path(&self, id: &str, path: &str) -> String {
+        ask(self.front, &request_text(id, path, "connection: close\r\n"))
     }
 }
 
@@ -260,10 +327,19 @@
 }
 
 fn config(repeat: Repeat) -> Config {
+    build_config(1, "/r/", repeat)
+}
+
+/// Returns a version of a configuration with one route.
+pub fn config_of_version(version: u64, prefix: &str) -> Config {
+    build_config(version, prefix, Repeat::Idempotent)
+}
+
+fn build_config(version: u64, prefix: &str, repeat: Repeat) -> Config {
     let route = Route {
         name: Name::from("r"),
         host: "h.example".to_owned(),
-        prefix: "/r/".to_owned(),
+        prefix: prefix.to_owned(),
         target: Target::Service(Name::from("s")),
         repeat,
         timeout: Duration::from_secs(5),
@@ -277,5 +353,5 @@
         warmup: Duration::ZERO,
     };
     let services = HashMap::from([(Name::from("s"), service)]);
-    Config::new(1, [route], services, Limits::default())
+    Config::new(version, [route], services, Limits::default())
 }
--- /dev/null
+++ b/crates/gateway/tests/relay.rs
@@ -0,0 +1,157 @@
+//! Nodes that take their updates from another node over real sockets.
+
+mod common;
+
+use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{Gateway, config_of_version, free_addr, vm_name, wait_until};
+use monsoondeal_edge::{Name, Peer};
+use monsoondeal_gateway::{Reading, Update};
+use rstest::rstest;
+
+/// Nodes of the domain under test.
+const NODES: usize = 6;
+
+/// A fleet in one failure domain. The first nodes are larger, so that they read the store.
+fn fleet() -> Vec<SocketAddr> {
+    (0..NODES).map(|_| free_addr()).collect()
+}
+
+fn peers(fleet: &[SocketAddr]) -> Vec<Peer> {
+    let peers = fleet.iter().enumerate().map(|(at, addr)| Peer {
+        name: Name::from(vm_name(*addr)),
+        domain: Name::from("a"),
+        addr: *addr,
+        updates: *addr,
+        cores: 1.0 / (at + 1) as f64,
+    });
+    peers.collect()
+}
+
+/// What a reader learns of the store at first.
+fn beginning() -> Vec<Update> {
+    vec![
+        Update::Leafs(Vec::new()),
+        Update::ClosedDomains(HashSet::new()),
+        Update::Moves(Vec::new()),
+        Update::Config(Rc::new(config_of_version(1, "/r/"))),
+    ]
+}
+
+/// Starts a node of the fleet that knows the other ones.
+fn start(fleet: &[SocketAddr], at: usize) -> Gateway {
+    let all = fleet.to_vec();
+    Gateway::start_at(fleet[at], move || vec![Update::Peers(peers(&all))])
+}
+
+/// Starts a node that reads the store and has its signs of life.
+fn start_reader(fleet: &[SocketAddr], at: usize) -> Gateway {
+    let node = start(fleet, at);
+    wait_until(|| node.reading() == Some(Reading::On));
+    node.tell(beginning);
+    node.tell(|| vec![Update::Contact(true)]);
+    node.wait_until_ready();
+    node
+}
+
+/// Keeps signs of life of the store coming.
+fn keep_in_contact(node: &Gateway) {
+    node.tell(|| vec![Update::Contact(true)]);
+}
+
+fn status(node: &Gateway, path: &str) -> String {
+    node.request_path("a", path)[..12].to_owned()
+}
+
+#[test]
+fn follower_learns_from_a_reader() {
+    let fleet = fleet();
+    let reader = start_reader(&fleet, 0);
+    let second = start_reader(&fleet, 1);
+    let follower = start(&fleet, 5);
+    follower.wait_until_ready();
+    assert_eq!(follower.readings(), [], "it leaves the store alone");
+    wait_until(|| {
+        reader.reading() == Some(Reading::Proven) || second.reading() == Some(Reading::Proven)
+    });
+
+    // Changes follow: the new route is known, the old one is not.
+    for node in [&reader, &second] {
+        node.tell(|| vec![Update::Config(Rc::new(config_of_version(2, "/s/")))]);
+    }
+    wait_until(|| status(&follower, "/s/x") == "HTTP/1.1 503");
+    assert_eq!(status(&follower, "/r/x"), "HTTP/1.1 404");
+}
+
+/// A reader that the store has lost, or that has lost the store, is not relied on.
+#[test]
+fn follower_leaves_a_reader_without_contact() {
+    let fleet = fleet();
+    let readers = [start_reader(&fleet, 0), start_reader(&fleet, 1)];
+    let follower = start(&fleet, 5);
+    follower.wait_until_ready();
+    for reader in &readers {
+        reader.tell(|| vec![Update::Contact(false)]);
+    }
+    let lost_at = Instant::now();
+    wait_until(|| follower.reading() == Some(Reading::On));
+    // Two tries of 0.4 s at the readers, two at nodes that are not there.
+    assert!(
+        lost_at.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        lost_at.elapsed()
+    );
+    assert!(follower.is_ready(), "it serves on with what it knows");
+
+    // It returns to a reader once one can be relied on again.
+    for _ in 0..80 {
+        readers.iter().for_each(keep_in_contact);
+        if follower.reading() == Some(Reading::Off) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    panic!(
+        "the node does not return to a reader: {:?}",
+        follower.readings()
+    );
+}
+
+/// Nodes that accept connections and are silent, close them at once, or send what is no frame.
+#[rstest]
+#[case::silent(&[], false)]
+#[case::closing(&[], true)]
+#[case::garbled(b"HTTP/1.1 200 OK\r\n\r\n", true)]
+fn follower_reads_the_store_without_a_reader(#[case] bytes: &'static [u8], #[case] closes: bool) {
+    let fleet = fleet();
+    for addr in &fleet[..4] {
+        let listener = TcpListener::bind(addr).expect("a free port");
+        thread::spawn(move || {
+            let mut kept = Vec::new();
+            for stream in listener.incoming() {
+                let mut stream = stream.expect("a connection");
+                let mut first = [0];
+                stream.read_exact(&mut first).expect("a request");
+                stream.write_all(bytes).expect("an open connection");
+                if !closes {
+                    kept.push(stream);
+                }
+            }
+        });
+    }
+    let started = Instant::now();
+    let follower = start(&fleet, 5);
+    wait_until(|| follower.reading() == Some(Reading::On));
+    assert!(
+        started.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        started.elapsed()
+    );
+    follower.tell(beginning);
+    follower.wait_until_ready();
+}
--- /dev/null
+++ b/crates/member/src/follow.rs
@@ -0,0 +1,234 @@
+//! Which nodes read the store, and from whom the others take its changes.
+//!
+//! Load pattern: each node that watches the store costs calls with every change. In a failure domain
+//! with many nodes a few read the store and the others follow one of them. A node whose source falls
+//! silent tries the next one, and reads the store itself when there is none left, so that what is in
+//! force at a node does not depend on any other node for longer than a second or two.
+
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use monsoondeal_core::Time;
+
+/// Nodes of a failure domain below which each reads the store itself.
+const LEAST_DOMAIN: usize = 6;
+/// Nodes that read the store, in a domain with others that follow them, at least.
+const LEAST_READERS: usize = 2;
+/// Nodes for each of which one more reads the store.
+const NODES_PER_READER: usize = 32;
+/// Readers that a node tries.
+const READERS_TRIED: usize = 2;
+/// Nodes that it tries after them: those that read the store when the readers are lost.
+const OTHERS_TRIED: usize = 2;
+/// Time for a node to send what it knows.
+const TRY_TIME: Duration = Duration::from_millis(400);
+/// Silence after which a source counts as lost. Sources send something three times as often.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+/// How long a node without a source reads the store before it looks for one again.
+const RETRY_TIME: Duration = Duration::from_secs(5);
+
+/// `FleetNode` is what decides on a node's part in reading the store.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetNode<'a> {
+    /// Name, unique in the fleet.
+    pub name: &'a str,
+    /// Failure domain of its VM.
+    pub domain: &'a str,
+    /// Processor share of its VM, in cores.
+    pub cores: f64,
+    /// Where it accepts nodes that follow it.
+    pub addr: SocketAddr,
+}
+
+/// `Role` is a node's part in reading the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It reads the store.
+    Reader,
+    /// It follows one of these nodes, the first one that it can.
+    Follower(Vec<SocketAddr>),
+}
+
+/// Returns the part of the node named `own` in a fleet. A node that is not listed reads the store.
+pub fn role<'a, N>(own: &str, fleet: N) -> Role
+where
+    N: IntoIterator<Item = FleetNode<'a>>,
+{
+    let fleet: Vec<FleetNode<'a>> = fleet.into_iter().collect();
+    let Some(domain) = fleet.iter().find(|n| n.name == own).map(|n| n.domain) else {
+        return Role::Reader;
+    };
+    let mut ranked: Vec<FleetNode<'a>> = fleet.into_iter().filter(|n| n.domain == domain).collect();
+    ranked.sort_by(|a, b| {
+        let by_size = b.cores.total_cmp(&a.cores);
+        by_size.then_with(|| digest(a.name).cmp(&digest(b.name)))
+    });
+    let readers = ranked.len().div_ceil(NODES_PER_READER).max(LEAST_READERS);
+    let rank = ranked.iter().position(|n| n.name == own).unwrap_or(0);
+    if ranked.len() < LEAST_DOMAIN || rank < readers {
+        return Role::Reader;
+    }
+    let (readers, others) = ranked[..rank].split_at_mut(readers);
+    readers.sort_by_key(|reader| digest((own, reader.name)));
+    let tried = readers.iter().take(READERS_TRIED);
+    let tried = tried.chain(others.iter().take(OTHERS_TRIED));
+    Role::Follower(tried.map(|node| node.addr).collect())
+}
+
+fn digest<T>(value: T) -> u64
+where
+    T: Hash,
+{
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// `Step` is what the node has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Read the store.
+    StartReading,
+    /// Leave the store alone.
+    StopReading,
+    /// Follow the node at an address, and no other one.
+    Connect(SocketAddr),
+    /// Follow no node.
+    Disconnect,
+}
+
+/// How far a follower has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// It follows nobody, until then.
+    Alone(Time),
+    /// It waits for the first message of a node.
+    Trying { at: usize, since: Time },
+    /// It follows a node and has last heard of it then.
+    Following { at: usize, heard: Time },
+}
+
+/// `Follow` decides whether a node reads the store or follows another node.
+#[derive(Debug)]
+pub struct Follow {
+    role: Option<Role>,
+    state: State,
+    is_reading: bool,
+}
+
+impl Default for Follow {
+    fn default() -> Self {
+        Self {
+            role: None,
+            state: State::Alone(Time::MAX),
+            is_reading: false,
+        }
+    }
+}
+
+impl Follow {
+    /// Returns whether the node reads the store.
+    pub fn is_reading(&self) -> bool {
+        self.is_reading
+    }
+
+    /// Returns whether the node follows another one, so that what it reads itself is out of date.
+    pub fn is_following(&self) -> bool {
+        matches!(self.state, State::Following { .. })
+    }
+
+    /// Sets the node's part, as the list of nodes tells it.
+    pub fn set_role(&mut self, role: Role, now: Time, out: &mut Vec<Step>) {
+        if self.role.as_ref() == Some(&role) {
+            return;
+        }
+        let followed = self.followed();
+        self.role = Some(role);
+        let nodes = self.nodes();
+        let is_reader = nodes.is_empty();
+        let kept = followed.and_then(|addr| nodes.iter().position(|node| *node == addr));
+        match (&mut self.state, kept) {
+            (State::Trying { at, .. } | State::Following { at, .. }, Some(kept)) => *at = kept,
+            _ if is_reader => self.go_alone(Time::MAX, out),
+            _ => self.try_node(0, now, out),
+        }
+    }
+
+    /// Notes a message of the node that is followed.
+    pub fn heard(&mut self, now: Time, out: &mut Vec<Step>) {
+        let (State::Trying { at, .. } | State::Following { at, .. }) = self.state else {
+            return;
+        };
+        self.state = State::Following { at, heard: now };
+        if self.is_reading {
+            self.is_reading = false;
+            out.push(Step::StopReading);
+        }
+    }
+
+    /// Notes that the connection to the node that is followed ended.
+    pub fn ended(&mut self, now: Time, out: &mut Vec<Step>) {
+        match self.state {
+            State::Alone(_) => {}
+            State::Trying { at, .. } => self.try_node(at + 1, now, out),
+            // The node may only have been replaced, so that the first one is worth a new try.
+            State::Following { at, .. } => self.try_node(usize::from(at == 0), now, out),
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Step>) {
+        if self.next_wake().is_none_or(|wake| now < wake) {
+            return;
+        }
+        match self.state {
+            State::Alone(_) => self.try_node(0, now, out),
+            State::Trying { .. } | State::Following { .. } => self.ended(now, out),
+        }
+    }
+
+    /// Returns when [`Follow::tick`] has something to do.
+    pub fn next_wake(&self) -> Option<Time> {
+        match self.state {
+            State::Alone(until) => (until != Time::MAX).then_some(until),
+            State::Trying { since, .. } => Some(since + TRY_TIME),
+            State::Following { heard, .. } => Some(heard + SILENCE_LIMIT),
+        }
+    }
+
+    fn nodes(&self) -> &[SocketAddr] {
+        match &self.role {
+            Some(Role::Follower(nodes)) => nodes,
+            Some(Role::Reader) | None => &[],
+        }
+    }
+
+    /// Returns the node that is tried or followed.
+    fn followed(&self) -> Option<SocketAddr> {
+        match self.state {
+            State::Alone(_) => None,
+            State::Trying { at, .. } | State::Following { at, .. } => self.nodes().get(at).copied(),
+        }
+    }
+
+    fn try_node(&mut self, at: usize, now: Time, out: &mut Vec<Step>) {
+        match self.nodes().get(at).copied() {
+            Some(addr) => {
+                self.state = State::Trying { at, since: now };
+                out.push(Step::Connect(addr));
+            }
+            None => self.go_alone(now + RETRY_TIME, out),
+        }
+    }
+
+    fn go_alone(&mut self, until: Time, out: &mut Vec<Step>) {
+        self.state = State::Alone(until);
+        out.push(Step::Disconnect);
+        if !self.is_reading {
+            self.is_reading = true;
+            out.push(Step::StartReading);
+        }
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -6,7 +6,9 @@
 //! heartbeats that say which roster each of them knows.
 
 pub mod cell;
+pub mod follow;
 pub mod roster;
 
 pub use cell::{Cell, CellSettings, Heartbeat, Lease};
+pub use follow::{FleetNode, Follow, Role, Step, role};
 pub use roster::{Member, Previous, Roster, blocking, majority};
--- /dev/null
+++ b/crates/member/tests/follow.rs
@@ -0,0 +1,225 @@
+//! Who reads the store, and what a node does when the one that it follows is lost.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use monsoondeal_core::Time;
+use monsoondeal_member::{FleetNode, Follow, Role, Step, role};
+use rstest::rstest;
+
+fn addr(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Returns names and failure domains of a fleet of `count` nodes in each of `domains` domains.
+fn fleet(domains: usize, count: usize) -> Vec<(String, String)> {
+    let nodes = (0..domains * count).map(|at| (format!("vm-{at}"), format!("d-{}", at % domains)));
+    nodes.collect()
+}
+
+/// Returns the part of each node. Every eighth node is larger.
+fn roles(fleet: &[(String, String)]) -> Vec<Role> {
+    let nodes = || {
+        fleet
+            .iter()
+            .enumerate()
+            .map(|(at, (name, domain))| FleetNode {
+                name,
+                domain,
+                cores: if at % 8 == 0 { 0.5 } else { 0.12 },
+                addr: addr(1_000 + at as u16),
+            })
+    };
+    fleet.iter().map(|(name, _)| role(name, nodes())).collect()
+}
+
+#[rstest]
+#[case::today(4, 2, 8)]
+#[case::today_with_spares(4, 5, 20)]
+#[case::grown(5, 15, 10)]
+#[case::target(7, 1_030, 7 * 33)]
+fn role_readers_of_a_fleet(#[case] domains: usize, #[case] count: usize, #[case] readers: usize) {
+    let fleet = fleet(domains, count);
+    let roles = roles(&fleet);
+    let reading = roles.iter().filter(|role| **role == Role::Reader).count();
+    assert_eq!(reading, readers);
+}
+
+/// Nodes follow nodes of their own domain, and no two nodes may follow each other.
+#[test]
+fn role_followers_stay_in_their_domain() {
+    let fleet = fleet(5, 15);
+    let roles = roles(&fleet);
+    for (at, role) in roles.iter().enumerate() {
+        let Role::Follower(nodes) = role else {
+            continue;
+        };
+        assert!(nodes.len() >= 2, "{nodes:?}");
+        for node in nodes {
+            let other = usize::from(node.port() - 1_000);
+            assert_eq!(fleet[other].1, fleet[at].1);
+            if let Role::Follower(back) = &roles[other] {
+                assert!(!back.contains(&addr(1_000 + at as u16)));
+            }
+        }
+    }
+}
+
+/// Followers spread over the readers of their domain.
+#[test]
+fn role_followers_spread() {
+    let roles = roles(&fleet(1, 60));
+    let mut first: Vec<SocketAddr> = Vec::new();
+    for role in &roles {
+        if let Role::Follower(nodes) = role {
+            first.push(nodes[0]);
+        }
+    }
+    let largest = first
+        .iter()
+        .map(|a| first.iter().filter(|b| *b == a).count())
+        .max();
+    assert!(largest <= Some(40), "{largest:?} of {}", first.len());
+}
+
+#[test]
+fn role_unlisted_node_reads() {
+    assert_eq!(role("vm-x", std::iter::empty()), Role::Reader);
+}
+
+struct Node {
+    follow: Follow,
+    now: Time,
+    connected: Option<SocketAddr>,
+    is_reading: bool,
+}
+
+impl Node {
+    /// Creates a node that may follow the nodes at three addresses.
+    fn follower() -> Self {
+        let mut node = Self {
+            follow: Follow::default(),
+            now: Time::from_millis(1_000),
+            connected: None,
+            is_reading: false,
+        };
+        let nodes = vec![addr(1), addr(2), addr(3)];
+        node.step(|follow, now, out| follow.set_role(Role::Follower(nodes), now, out));
+        node
+    }
+
+    fn step<F>(&mut self, act: F)
+    where
+        F: FnOnce(&mut Follow, Time, &mut Vec<Step>),
+    {
+        let mut out = Vec::new();
+        act(&mut self.follow, self.now, &mut out);
+        for step in out {
+            match step {
+                Step::StartReading => self.is_reading = true,
+                Step::StopReading => self.is_reading = false,
+                Step::Connect(addr) => self.connected = Some(addr),
+                Step::Disconnect => self.connected = None,
+            }
+        }
+        assert_eq!(self.is_reading, self.follow.is_reading());
+    }
+
+    fn hear(&mut self) {
+        self.step(|follow, now, out| follow.heard(now, out));
+    }
+
+    fn lose(&mut self) {
+        self.step(|follow, now, out| follow.ended(now, out));
+    }
+
+    /// Lets time pass in steps of 50 ms.
+    fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(50);
+            self.step(|follow, now, out| follow.tick(now, out));
+        }
+    }
+}
+
+#[test]
+fn follow_leaves_the_store_alone() {
+    let mut node = Node::follower();
+    for _ in 0..30 {
+        node.hear();
+        node.pass(Duration::from_millis(400));
+    }
+    assert_eq!(node.connected, Some(addr(1)));
+    assert!(!node.is_reading);
+}
+
+/// Whatever the nodes that it could follow do, a node reads the store within two and a half seconds of
+/// the last message.
+#[rstest]
+#[case::all_silent(false, 0)]
+#[case::all_refuse(true, 0)]
+#[case::silent_after_use(false, 5)]
+#[case::refuse_after_use(true, 5)]
+fn follow_reads_when_none_is_left(#[case] refuses: bool, #[case] heard: usize) {
+    let mut node = Node::follower();
+    for _ in 0..heard {
+        node.hear();
+        node.pass(Duration::from_millis(400));
+    }
+    let silent_since = node.now;
+    while !node.is_reading {
+        if refuses {
+            node.lose();
+        }
+        node.pass(Duration::from_millis(50));
+        let silence = node.now.since(silent_since);
+        assert!(silence <= Duration::from_millis(2_500), "{silence:?}");
+    }
+    assert_eq!(node.connected, None);
+}
+
+/// A node that reads the store for want of others goes on with it until one has told it everything.
+#[test]
+fn follow_returns_to_a_node() {
+    let mut node = Node::follower();
+    for _ in 0..3 {
+        node.lose();
+    }
+    assert!(node.is_reading);
+    node.pass(Duration::from_millis(5_100));
+    assert_eq!(node.connected, Some(addr(1)));
+    assert!(node.is_reading);
+    node.hear();
+    assert!(!node.is_reading);
+}
+
+#[rstest]
+#[case::lost_first(1, 2)]
+#[case::lost_second(2, 1)]
+fn follow_tries_the_other_node(#[case] followed: u16, #[case] next: u16) {
+    let mut node = Node::follower();
+    while node.connected != Some(addr(followed)) {
+        node.lose();
+    }
+    node.hear();
+    node.lose();
+    assert_eq!(node.connected, Some(addr(next)));
+    assert!(!node.is_reading);
+}
+
+/// A list of nodes that leaves the followed one in place does not disturb it.
+#[test]
+fn set_role_keeps_the_followed_node() {
+    let mut node = Node::follower();
+    node.hear();
+    let nodes = vec![addr(7), addr(1)];
+    node.step(|follow, now, out| follow.set_role(Role::Follower(nodes), now, out));
+    assert_eq!(node.connected, Some(addr(1)));
+    let nodes = vec![addr(7), addr(8)];
+    node.step(|follow, now, out| follow.set_role(Role::Follower(nodes), now, out));
+    assert_eq!(node.connected, Some(addr(7)));
+    node.step(|follow, now, out| follow.set_role(Role::Reader, now, out));
+    assert_eq!(node.connected, None);
+    assert!(node.is_reading);
+}
--- a/crates/node/src/frame.rs
+++ b/crates/node/src/frame.rs
@@ -4,9 +4,11 @@
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
 use futures_channel::mpsc;
+use futures_util::future::ready;
 use futures_util::stream::{SplitSink, SplitStream};
-use futures_util::{SinkExt, StreamExt};
-use monsoondeal_engine::message::Message;
+use futures_util::{SinkExt, Stream, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -18,36 +20,60 @@
 const FRAME_LIMIT: usize = 16 * 1024 * 1024;
 
 /// A WebSocket over TCP.
-pub(crate) type Socket = WebSocketStream<Compat<AsyncStream<TcpStream>>>;
+pub type Socket = WebSocketStream<Compat<AsyncStream<TcpStream>>>;
 
 /// Wraps a TCP connection for the WebSocket library.
-pub(crate) fn wrap(stream: TcpStream) -> Compat<AsyncStream<TcpStream>> {
+pub fn wrap(stream: TcpStream) -> Compat<AsyncStream<TcpStream>> {
     // Small frames must not wait for more data.
     let _ = stream.set_nodelay(true);
     AsyncStream::new(stream).compat()
 }
 
 /// Returns the limits of a connection.
-pub(crate) fn limits() -> WebSocketConfig {
+pub fn limits() -> WebSocketConfig {
     WebSocketConfig::default()
         .max_message_size(Some(FRAME_LIMIT))
         .max_frame_size(Some(FRAME_LIMIT))
 }
 
-/// Writes messages until the sender is dropped or the connection fails.
-pub(crate) async fn write_all(
-    sink: &mut SplitSink<Socket, tungstenite::Message>,
-    messages: mpsc::UnboundedReceiver<Message>,
-) {
-    let mut batches = messages.ready_chunks(FRAME_MESSAGES);
-    while let Some(batch) = batches.next().await {
-        let mut bytes = Vec::new();
-        if let Err(error) = ciborium::into_writer(&batch, &mut bytes) {
+/// Returns messages as the content of one frame.
+pub fn encode<M>(batch: &[M]) -> Option<Bytes>
+where
+    M: Serialize,
+{
+    let mut bytes = Vec::new();
+    match ciborium::into_writer(batch, &mut bytes) {
+        Ok(()) => Some(Bytes::from(bytes)),
+        Err(error) => {
             log::error!("cannot encode messages: {error}");
-            continue;
+            None
         }
-        let frame = tungstenite::Message::Binary(Bytes::from(bytes));
-        if sink.send(frame).await.is_err() {
+    }
+}
+
+/// Writes messages until the sender is dropped or the connection fails.
+pub async fn write_all<M>(
+    sink: &mut SplitSink<Socket, tungstenite::Message>,
+    messages: mpsc::UnboundedReceiver<M>,
+) where
+    M: Serialize,
+{
+    let batches = messages.ready_chunks(FRAME_MESSAGES);
+    let frames = batches.filter_map(|batch| ready(encode(&batch)));
+    write_frames(sink, frames).await;
+}
+
+/// Writes encoded frames until they end or the connection fails.
+pub async fn write_frames<F>(sink: &mut SplitSink<Socket, tungstenite::Message>, mut frames: F)
+where
+    F: Stream<Item = Bytes> + Unpin,
+{
+    while let Some(bytes) = frames.next().await {
+        if sink
+            .send(tungstenite::Message::Binary(bytes))
+            .await
+            .is_err()
+        {
             return;
         }
     }
@@ -56,14 +82,15 @@
 
 /// Reads messages and hands each to `on_message`, until the connection ends or sends something that
 /// is not a list of messages.
-pub(crate) async fn read_all<F>(stream: &mut SplitStream<Socket>, mut on_message: F)
+pub async fn read_all<M, F>(stream: &mut SplitStream<Socket>, mut on_message: F)
 where
-    F: FnMut(Message),
+    M: DeserializeOwned,
+    F: FnMut(M),
 {
     while let Some(Ok(frame)) = stream.next().await {
         match frame {
             tungstenite::Message::Binary(bytes) => {
-                match ciborium::from_reader::<Vec<Message>, _>(bytes.as_ref()) {
+                match ciborium::from_reader::<Vec<M>, _>(bytes.as_ref()) {
                     Ok(messages) => messages.into_iter().for_each(&mut on_message),
                     Err(error) => {
                         log::warn!("closing a connection after a malformed frame: {error}");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,7 +15,7 @@
 mod callers;
 mod error;
 pub mod event;
-mod frame;
+pub mod frame;
 pub mod http;
 mod hub;
 mod leafs;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -6,6 +6,7 @@
 use futures_util::future::{Either, select};
 use monsoondeal_engine::Input;
 use monsoondeal_engine::io::LinkId;
+use monsoondeal_engine::message::Message;
 
 use crate::event::{Event, EventSender, send};
 use crate::frame;
@@ -30,7 +31,7 @@
     let (sender, receiver) = mpsc::unbounded();
     send(&events, Event::LinkUp(link, sender));
 
-    let reading = std::pin::pin!(frame::read_all(&mut stream, |message| {
+    let reading = std::pin::pin!(frame::read_all(&mut stream, |message: Message| {
         send(&events, Event::Input(Input::FromLink(link, message)));
     }));
     let writing = std::pin::pin!(frame::write_all(&mut sink, receiver));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -80,7 +80,7 @@
     events: &EventSender,
 ) {
     let (mut sink, mut stream) = socket.split();
-    let reading = std::pin::pin!(frame::read_all(&mut stream, |message| {
+    let reading = std::pin::pin!(frame::read_all(&mut stream, |message: Message| {
         send(events, Event::Input(Input::FromPeer(addr, message)));
     }));
     let writing = std::pin::pin!(frame::write_all(&mut sink, receiver));
