Give test processes ports that no connection takes

Cause: follower_learns_from_a_reader failed once in three runs, since an address of the settings had been given to a connection between the look for a free port and the listening. Ports now lie below those that the system gives to connections and are handed out once in a process.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -17,6 +17,7 @@
 };
 use monsoondeal_gateway::{GatewaySettings, HeaderNames, Reading, StopSettings, Update};
 use socket2::SockRef;
+pub use standin::ports::free_addr;
 
 /// Longest time for a test to wait for anything.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -109,11 +110,6 @@
     }
 }
 
-pub fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 /// Returns the name of the VM that nodes follow at an address.
 pub fn vm_name(follow_addr: SocketAddr) -> String {
     format!("vm-{}", follow_addr.port())
--- a/programs/standin/src/lib.rs
+++ b/programs/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod leaf;
+pub mod ports;
 pub mod process;
 pub mod serve;
 pub mod store;
--- /dev/null
+++ b/programs/standin/src/ports.rs
@@ -0,0 +1,40 @@
+//! Ports for processes whose settings name them before they listen.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU16, Ordering};
+
+/// Lowest port handed out. All lie below those that the system gives to connections, so that no
+/// connection takes one between the look and its use.
+const FIRST: u16 = 10_000;
+/// Ports of one process.
+const PER_PROCESS: u16 = 200;
+/// Processes that use different ports.
+const PROCESSES: u32 = 100;
+
+/// Returns the first of `count` successive loopback addresses that nothing listens on. Addresses are
+/// handed out once in a process.
+///
+/// # Panics
+///
+/// If none are left.
+pub fn free_addrs(count: u16) -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let base = FIRST + (std::process::id() % PROCESSES) as u16 * PER_PROCESS;
+    loop {
+        let offset = NEXT.fetch_add(count, Ordering::SeqCst);
+        assert!(offset + count <= PER_PROCESS, "no free port is left");
+        let addr = |at: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, base + offset + at));
+        if (0..count).all(|at| TcpListener::bind(addr(at)).is_ok()) {
+            return addr(0);
+        }
+    }
+}
+
+/// Returns a loopback address that nothing listens on.
+///
+/// # Panics
+///
+/// If none is left.
+pub fn free_addr() -> SocketAddr {
+    free_addrs(1)
+}
