Add a randomized soak of the edge command with faults from outside

Seven node processes between stand-ins of callers, leafs and the store, behind loopback proxies that delay, reset, cut one way and silence; nodes are stopped, killed, paused and reloaded by signals, leafs are replaced at their address, fail, shed, lose, cut or repeat answers, the store is busy, garbled, slow, loses answers or its history. Storms check what holds at any time (whole answers of one's own, true coverage, once at most, true rejections, attempts); calms check bounds on time (configuration, draining, planned stops that cut nothing). The store's stand-in moved there from the adapter's tests, which use it as before. Clocks are not shifted: nothing outside of a process can.

--- a/programs/monsoondeal/tests/edge.rs
+++ b/programs/monsoondeal/tests/edge.rs
@@ -11,10 +11,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{
-    FakeStore, NodeAddrs, SETTINGS_VARIABLE, ask, config, request_text, server, start_leaf, status,
-    wait_until,
-};
+use common::{ask, config, request_text, server, start_leaf, status, wait_until};
+use soak::node::{NodeAddrs, SETTINGS_VARIABLE};
+use soak::store::FakeStore;
 
 /// A node process. It is killed when the test ends.
 struct Process {
