Share the budget for repeats of a shard among the nodes that call it

Cause: where queries are split, six nodes call the leafs of a shard, but each took a part of the common reserve for repeats as if all 68 or 77 did: one or two repeats for each shard. The number of callers of a service now decides, for repeats as for connections; a service that is no shard is called by all nodes, whatever its connections. Test: segment_repeats_by_its_nodes (one hedge before).

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration in force: routes, services and limits of one version.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -105,6 +105,8 @@
     pub services: HashMap<Name, Service>,
     /// Limits for callers.
     pub limits: Limits,
+    /// Services that are shards of some route.
+    shards: HashSet<Name>,
     /// Routes by host, then by prefix.
     routes: HashMap<String, HashMap<String, Rc<Route>>>,
 }
@@ -116,7 +118,11 @@
         R: IntoIterator<Item = Route>,
     {
         let mut table: HashMap<String, HashMap<String, Rc<Route>>> = HashMap::new();
+        let mut shards = HashSet::new();
         for route in routes {
+            if let Target::FanOut(services, _) = &route.target {
+                shards.extend(services.iter().cloned());
+            }
             table
                 .entry(route.host.to_ascii_lowercase())
                 .or_default()
@@ -126,6 +132,7 @@
             version,
             services,
             limits,
+            shards,
             routes: table,
         }
     }
@@ -143,6 +150,11 @@
         ends.into_iter().find_map(|end| routes.get(&path[..end]))
     }
 
+    /// Returns whether a service is a shard of some route.
+    pub fn is_shard(&self, service: &str) -> bool {
+        self.shards.contains(service)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(HashMap::len).sum()
--- a/crates/edge/src/edge/arrive.rs
+++ b/crates/edge/src/edge/arrive.rs
@@ -58,7 +58,8 @@
             return;
         };
         for (service, _) in &services {
-            self.shares.earn(service, now);
+            let callers = self.callers(service);
+            self.shares.earn(service, callers, now);
         }
         if let Some(reply) = self.rejection(route, &services, inquiry.segment.is_some()) {
             let summary = Summary {
--- a/crates/edge/src/edge/launch.rs
+++ b/crates/edge/src/edge/launch.rs
@@ -1,5 +1,6 @@
 //! Calls to leafs: the choice of a leaf, and the line of those that wait for one.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use monsoondeal_core::{CallId, LeafId, Time};
@@ -7,8 +8,9 @@
 
 use super::{Call, Edge, Waiter, pace};
 use crate::action::{Action, Send, Token};
-use crate::config::{Name, Service};
+use crate::config::{Config, Name, Service};
 use crate::segment::{SegmentCall, callers, is_segment};
+use crate::share::Shares;
 
 /// Connections assumed for a service that the configuration does not describe.
 const FALLBACK_CONNECTIONS: usize = 8;
@@ -25,10 +27,19 @@
         }
         let spec = self.service_spec(service);
         let all = spec.map_or(FALLBACK_CONNECTIONS, |spec| spec.connections);
-        if all < self.peers.len() {
-            return (all / callers()).max(1);
+        Shares::connections(all, self.callers(service))
+    }
+
+    /// Returns how many nodes call the leafs of a service: all of them, or those that serve the segment
+    /// that a shard belongs to.
+    pub(super) fn callers(&self, service: &str) -> usize {
+        let is_shard = |config: &Rc<Config>| config.is_shard(service);
+        let connections = self.service_spec(service).map(|spec| spec.connections);
+        let is_short = connections.is_some_and(|all| all < self.peers.len());
+        if is_short && self.config.as_ref().is_some_and(is_shard) {
+            return callers();
         }
-        self.shares.connections(all)
+        self.shares.nodes()
     }
 
     pub(super) fn service_spec(&self, service: &str) -> Option<&Service> {
--- a/crates/edge/src/edge/look.rs
+++ b/crates/edge/src/edge/look.rs
@@ -95,7 +95,8 @@
         let Some(leaf) = self.pick(&sound, &service, now) else {
             return;
         };
-        if !self.shares.try_repeat(&service, now) {
+        let callers = self.callers(&service);
+        if !self.shares.try_repeat(&service, callers, now) {
             return;
         }
         if let Some(job) = self.jobs.get_mut(&token) {
--- a/crates/edge/src/edge/outcome.rs
+++ b/crates/edge/src/edge/outcome.rs
@@ -121,13 +121,14 @@
         out: &mut Vec<Action>,
     ) {
         let (token, at) = (call.token, call.shard);
+        let callers = self.callers(&call.service);
         let Some(job) = self.jobs.get_mut(&token) else {
             return;
         };
         let shard = &mut job.shards[at];
         // A segment that was refused has reached no leaf.
         let is_repeat = shard.arrived && !is_segment(&call.service);
-        if is_repeat && !self.shares.try_repeat(&call.service, now) {
+        if is_repeat && !self.shares.try_repeat(&call.service, callers, now) {
             self.lose(token, at, "no budget for a retry", out);
             return;
         }
--- a/crates/edge/src/share.rs
+++ b/crates/edge/src/share.rs
@@ -58,21 +58,21 @@
         self.nodes
     }
 
-    /// Returns how many of a leaf's connections this node may hold. At least one.
-    pub fn connections(&self, all: usize) -> usize {
-        (all / self.nodes).max(1)
+    /// Returns how many of a leaf's connections one of `callers` nodes may hold. At least one.
+    pub fn connections(all: usize, callers: usize) -> usize {
+        (all / callers.max(1)).max(1)
     }
 
-    /// Counts a request for a service.
-    pub fn earn(&mut self, service: &Name, now: Time) {
-        let entry = self.entry(service, now);
+    /// Counts a request for a service that `callers` nodes call.
+    pub fn earn(&mut self, service: &Name, callers: usize, now: Time) {
+        let entry = self.entry(service, callers, now);
         entry.0.earn(1);
         entry.1 = now;
     }
 
-    /// Attempts to take the permission to repeat a call to a service.
-    pub fn try_repeat(&mut self, service: &Name, now: Time) -> bool {
-        self.entry(service, now).0.try_spend()
+    /// Attempts to take the permission to repeat a call to a service that `callers` nodes call.
+    pub fn try_repeat(&mut self, service: &Name, callers: usize, now: Time) -> bool {
+        self.entry(service, callers, now).0.try_spend()
     }
 
     /// Forgets services that have had no request for long.
@@ -81,8 +81,8 @@
             .retain(|_, (_, used)| now.since(*used) < IDLE_LIMIT);
     }
 
-    fn entry(&mut self, service: &Name, now: Time) -> &mut (Budget, Time) {
-        let reserve = (self.slack * USED_PART / self.nodes as f64).max(1.0);
+    fn entry(&mut self, service: &Name, callers: usize, now: Time) -> &mut (Budget, Time) {
+        let reserve = (self.slack * USED_PART / callers.max(1) as f64).max(1.0);
         let ratio = self.ratio * USED_PART;
         self.budgets.entry(service.clone()).or_insert_with(|| {
             (
--- a/crates/edge/tests/segments.rs
+++ b/crates/edge/tests/segments.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use common::{HOST, Node, config, fan_out, leaf, shard};
 use monsoondeal_edge::{
-    Answer, CallEnd, Inquiry, LeafEntry, Name, Peer, Reply, SegmentCall, Send, Token,
+    Answer, CallEnd, Inquiry, LeafEntry, Name, Note, Peer, Reply, SegmentCall, Send, Token,
 };
 use rstest::rstest;
 
@@ -223,6 +223,26 @@
     assert!(summary.elapsed <= asked.budget, "{summary:?}");
 }
 
+/// Only the nodes that serve a segment call its leafs: they share the budget for repeats, not all nodes.
+#[test]
+fn segment_repeats_by_its_nodes() {
+    let mut node = node(70);
+    node.request("q");
+    let asked = segment(&node.calls[0]);
+    let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
+    let first = asked.range(&shards).expect("the same shards").start;
+    node.calls.clear();
+    for at in 0..4 {
+        serve(&mut node, Token(1_000 + at), asked);
+    }
+    node.pass(Duration::from_millis(60));
+    let of_shard =
+        |note: &&Note| matches!(note, Note::Hedged { service, .. } if *service == shard(first));
+    let hedges = node.notes.iter().filter(of_shard).count();
+    // Six nodes share eight tenths of 50; a third of that is there at the start.
+    assert!(hedges >= 2, "{hedges} hedges");
+}
+
 /// Parts of one answer come from one configuration: a segment of other shards is refused as not run.
 #[test]
 fn segment_of_another_configuration_is_rejected() {
--- a/crates/edge/tests/share.rs
+++ b/crates/edge/tests/share.rs
@@ -18,9 +18,9 @@
         let (mut requests, mut repeats) = (0, 0);
         for (node, wanted) in wants {
             let share = &mut shares[node % nodes];
-            share.earn(&service, Time::default());
+            share.earn(&service, nodes, Time::default());
             requests += 1;
-            repeats += (0..wanted).filter(|_| share.try_repeat(&service, Time::default())).count();
+            repeats += (0..wanted).filter(|_| share.try_repeat(&service, nodes, Time::default())).count();
         }
         prop_assert!(repeats as f64 <= ratio * f64::from(requests) + slack);
     }
@@ -29,7 +29,7 @@
 #[test]
 fn connections_of_all_nodes_stay_within_the_bound() {
     for nodes in 1..=30 {
-        let share = Shares::new(nodes, 0.2, 52.0).connections(30);
+        let share = Shares::connections(30, nodes);
         assert!(share >= 1 && share * nodes <= 30);
     }
 }
--- a/programs/standin/src/ports.rs
+++ b/programs/standin/src/ports.rs
@@ -11,8 +11,8 @@
 /// Processes that use different ports.
 const PROCESSES: u32 = 100;
 
-/// Returns the first of `count` successive loopback addresses that nothing listens on. Addresses are
-/// handed out once in a process.
+/// Returns the first of `count` successive loopback addresses that nothing listens on. An address is
+/// handed out again only after all others of the process.
 ///
 /// # Panics
 ///
@@ -20,14 +20,14 @@
 pub fn free_addrs(count: u16) -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let base = FIRST + (std::process::id() % PROCESSES) as u16 * PER_PROCESS;
-    loop {
-        let offset = NEXT.fetch_add(count, Ordering::SeqCst);
-        assert!(offset + count <= PER_PROCESS, "no free port is left");
+    for _ in 0..PER_PROCESS {
+        let offset = NEXT.fetch_add(count, Ordering::SeqCst) % (PER_PROCESS - count);
         let addr = |at: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, base + offset + at));
         if (0..count).all(|at| TcpListener::bind(addr(at)).is_ok()) {
             return addr(0);
         }
     }
+    panic!("no free port is left");
 }
 
 /// Returns a loopback address that nothing listens on.
