--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -152,12 +152,14 @@
     fn on_read(&mut self, update: Update) {
         match update {
             Update::Contact(true) => {
+                self.step(|follow, now, out| follow.set_contact(true, now, out));
                 self.contact_at = Some(self.clock.now());
                 self.bring_up_to_date();
             }
             Update::Contact(false) => {
                 self.contact_at = None;
                 self.drop_followers("the store gave no sign of life");
+                self.step(|follow, now, out| follow.set_contact(false, now, out));
             }
             // The settings and the first list of nodes are this node's own.
             Update::Settings(_) | Update::Peers(_) => self.learn(update),
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -59,9 +59,10 @@
     node
 }
 
-/// Keeps signs of life of the store coming.
-fn keep_in_contact(node: &Gateway) {
+/// Lets a reader have a sign of life of the store, and read it anew.
+fn regain_contact(node: &Gateway) {
     node.tell(|| vec![Update::Contact(true)]);
+    node.tell(beginning);
 }
 
 fn status(node: &Gateway, path: &str) -> String {
@@ -110,7 +111,7 @@
 
     // It returns to a reader once one can be relied on again.
     for _ in 0..80 {
-        readers.iter().for_each(keep_in_contact);
+        readers.iter().for_each(regain_contact);
         if follower.reading() == Some(Reading::Off) {
             return;
         }
@@ -155,3 +156,26 @@
     follower.tell(beginning);
     follower.wait_until_ready();
 }
+
+/// A reader that cannot reach the store learns of a new configuration from a reader that can.
+#[test]
+fn reader_without_contact_learns_from_another() {
+    let fleet = fleet();
+    let cut = start_reader(&fleet, 0);
+    let well = start_reader(&fleet, 1);
+    cut.tell(|| vec![Update::Contact(false)]);
+    well.tell(|| vec![Update::Config(Rc::new(config_of_version(2, "/s/")))]);
+    for _ in 0..80 {
+        well.tell(|| vec![Update::Contact(true)]);
+        if status(&cut, "/s/x") == "HTTP/1.1 503" {
+            assert_eq!(
+                cut.reading(),
+                Some(Reading::On),
+                "it goes on trying the store"
+            );
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    panic!("the node does not learn of the configuration");
+}
--- a/crates/member/src/follow.rs
+++ b/crates/member/src/follow.rs
@@ -3,8 +3,10 @@
 //! Load pattern: each node that watches the store costs calls with every change. In a failure domain
 //! with many nodes a few read the store and the others follow one of them. A node whose source falls
 //! silent tries the next one, and reads the store itself when there is none left, so that what is in
-//! force at a node does not depend on any other node for longer than a second or two.
+//! force at a node does not depend on any other node for longer than a second or two. A node that cannot
+//! reach the store itself follows readers of other domains until it can.
 
+use std::collections::BTreeMap;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -28,6 +30,10 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 /// How long a node without a source reads the store before it looks for one again.
 const RETRY_TIME: Duration = Duration::from_secs(5);
+/// Nodes that a node tries while it cannot reach the store.
+const FALLBACKS: usize = 3;
+/// Time between two searches for one of them.
+const FALLBACK_RETRY: Duration = Duration::from_secs(2);
 
 /// `FleetNode` is what decides on a node's part in reading the store.
 #[derive(Clone, Copy, Debug)]
@@ -43,12 +49,19 @@
 }
 
 /// `Role` is a node's part in reading the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// It reads the store.
-    Reader,
-    /// It follows one of these nodes, the first one that it can.
-    Follower(Vec<SocketAddr>),
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Role {
+    /// Nodes to follow, the first one that it can. A node without any reads the store.
+    pub sources: Vec<SocketAddr>,
+    /// Nodes to follow while it is to read the store and cannot reach it.
+    pub fallbacks: Vec<SocketAddr>,
+}
+
+impl Role {
+    /// Returns whether the node reads the store.
+    pub fn is_reader(&self) -> bool {
+        self.sources.is_empty()
+    }
 }
 
 /// Returns the part of the node named `own` in a fleet. A node that is not listed reads the store.
@@ -56,25 +69,57 @@
 where
     N: IntoIterator<Item = FleetNode<'a>>,
 {
-    let fleet: Vec<FleetNode<'a>> = fleet.into_iter().collect();
-    let Some(domain) = fleet.iter().find(|n| n.name == own).map(|n| n.domain) else {
-        return Role::Reader;
-    };
-    let mut ranked: Vec<FleetNode<'a>> = fleet.into_iter().filter(|n| n.domain == domain).collect();
-    ranked.sort_by(|a, b| {
-        let by_size = b.cores.total_cmp(&a.cores);
-        by_size.then_with(|| digest(a.name).cmp(&digest(b.name)))
+    let mut domains: BTreeMap<&str, Vec<FleetNode<'a>>> = BTreeMap::new();
+    for node in fleet {
+        domains.entry(node.domain).or_default().push(node);
+    }
+    for nodes in domains.values_mut() {
+        nodes.sort_by(|a, b| {
+            let by_size = b.cores.total_cmp(&a.cores);
+            by_size.then_with(|| digest(a.name).cmp(&digest(b.name)))
+        });
+    }
+    let place = domains.values().find_map(|nodes| {
+        let rank = nodes.iter().position(|node| node.name == own)?;
+        Some((nodes, rank))
     });
-    let readers = ranked.len().div_ceil(NODES_PER_READER).max(LEAST_READERS);
-    let rank = ranked.iter().position(|n| n.name == own).unwrap_or(0);
-    if ranked.len() < LEAST_DOMAIN || rank < readers {
-        return Role::Reader;
-    }
-    let (readers, others) = ranked[..rank].split_at_mut(readers);
-    readers.sort_by_key(|reader| digest((own, reader.name)));
-    let tried = readers.iter().take(READERS_TRIED);
-    let tried = tried.chain(others.iter().take(OTHERS_TRIED));
-    Role::Follower(tried.map(|node| node.addr).collect())
+    let sources = place.map_or_else(Vec::new, |(nodes, rank)| sources(own, nodes, rank));
+    let mut others: Vec<FleetNode<'a>> = domains
+        .values()
+        .flat_map(|nodes| &nodes[..readers(nodes.len())])
+        .filter(|node| node.name != own)
+        .copied()
+        .collect();
+    others.sort_by_key(|node| digest((own, node.name)));
+    Role {
+        sources,
+        fallbacks: others
+            .iter()
+            .take(FALLBACKS)
+            .map(|node| node.addr)
+            .collect(),
+    }
+}
+
+/// Returns how many nodes of a domain read the store.
+fn readers(nodes: usize) -> usize {
+    if nodes < LEAST_DOMAIN {
+        return nodes;
+    }
+    nodes.div_ceil(NODES_PER_READER).max(LEAST_READERS)
+}
+
+/// Returns whom the node of a rank in its domain follows.
+fn sources(own: &str, ranked: &[FleetNode<'_>], rank: usize) -> Vec<SocketAddr> {
+    let readers = readers(ranked.len());
+    if rank < readers {
+        return Vec::new();
+    }
+    let mut first = ranked[..readers].to_vec();
+    first.sort_by_key(|reader| digest((own, reader.name)));
+    let others = ranked[readers..rank].iter().take(OTHERS_TRIED);
+    let tried = first.iter().take(READERS_TRIED).chain(others);
+    tried.map(|node| node.addr).collect()
 }
 
 fn digest<T>(value: T) -> u64
@@ -116,6 +161,8 @@
     role: Option<Role>,
     state: State,
     is_reading: bool,
+    /// Whether the node is to read the store and cannot reach it. Only while it is reading.
+    is_cut: bool,
 }
 
 impl Default for Follow {
@@ -124,6 +171,7 @@
             role: None,
             state: State::Alone(Time::MAX),
             is_reading: false,
+            is_cut: false,
         }
     }
 }
@@ -147,22 +195,42 @@
         let followed = self.followed();
         self.role = Some(role);
         let nodes = self.nodes();
-        let is_reader = nodes.is_empty();
+        let is_none = nodes.is_empty();
         let kept = followed.and_then(|addr| nodes.iter().position(|node| *node == addr));
         match (&mut self.state, kept) {
             (State::Trying { at, .. } | State::Following { at, .. }, Some(kept)) => *at = kept,
-            _ if is_reader => self.go_alone(Time::MAX, out),
+            _ if is_none => self.go_alone(now, out),
             _ => self.try_node(0, now, out),
         }
     }
 
+    /// Notes whether the store can be reached, as far as the node reads it.
+    ///
+    /// Load pattern: a node that is cut off from the store goes on serving. With an old configuration it
+    /// asks leafs that are gone, and other nodes refuse to serve segments of its queries.
+    pub fn set_contact(&mut self, is_known: bool, now: Time, out: &mut Vec<Step>) {
+        if !self.is_reading || is_known != self.is_cut {
+            return;
+        }
+        self.is_cut = !is_known;
+        if self.is_cut {
+            self.try_node(0, now, out);
+            return;
+        }
+        // What was read meanwhile may be older than what the other node told: it is read anew.
+        out.push(Step::Disconnect);
+        out.push(Step::StopReading);
+        out.push(Step::StartReading);
+        self.state = State::Alone(self.next_search(now));
+    }
+
     /// Notes a message of the node that is followed.
     pub fn heard(&mut self, now: Time, out: &mut Vec<Step>) {
         let (State::Trying { at, .. } | State::Following { at, .. }) = self.state else {
             return;
         };
         self.state = State::Following { at, heard: now };
-        if self.is_reading {
+        if self.is_reading && !self.is_cut {
             self.is_reading = false;
             out.push(Step::StopReading);
         }
@@ -198,10 +266,23 @@
         }
     }
 
+    /// Returns the nodes to follow, best first.
     fn nodes(&self) -> &[SocketAddr] {
         match &self.role {
-            Some(Role::Follower(nodes)) => nodes,
-            Some(Role::Reader) | None => &[],
+            Some(role) if self.is_cut => &role.fallbacks,
+            Some(role) => &role.sources,
+            None => &[],
+        }
+    }
+
+    /// Returns when a node that follows nobody looks for one again.
+    fn next_search(&self, now: Time) -> Time {
+        if self.is_cut {
+            now + FALLBACK_RETRY
+        } else if self.nodes().is_empty() {
+            Time::MAX
+        } else {
+            now + RETRY_TIME
         }
     }
 
@@ -219,12 +300,12 @@
                 self.state = State::Trying { at, since: now };
                 out.push(Step::Connect(addr));
             }
-            None => self.go_alone(now + RETRY_TIME, out),
+            None => self.go_alone(now, out),
         }
     }
 
-    fn go_alone(&mut self, until: Time, out: &mut Vec<Step>) {
-        self.state = State::Alone(until);
+    fn go_alone(&mut self, now: Time, out: &mut Vec<Step>) {
+        self.state = State::Alone(self.next_search(now));
         out.push(Step::Disconnect);
         if !self.is_reading {
             self.is_reading = true;
--- a/crates/member/tests/follow.rs
+++ b/crates/member/tests/follow.rs
@@ -41,7 +41,7 @@
 fn role_readers_of_a_fleet(#[case] domains: usize, #[case] count: usize, #[case] readers: usize) {
     let fleet = fleet(domains, count);
     let roles = roles(&fleet);
-    let reading = roles.iter().filter(|role| **role == Role::Reader).count();
+    let reading = roles.iter().filter(|role| role.is_reader()).count();
     assert_eq!(reading, readers);
 }
 
@@ -51,16 +51,12 @@
     let fleet = fleet(5, 15);
     let roles = roles(&fleet);
     for (at, role) in roles.iter().enumerate() {
-        let Role::Follower(nodes) = role else {
-            continue;
-        };
-        assert!(nodes.len() >= 2, "{nodes:?}");
+        let nodes = &role.sources;
+        assert!(nodes.is_empty() || nodes.len() >= 2, "{nodes:?}");
         for node in nodes {
             let other = usize::from(node.port() - 1_000);
             assert_eq!(fleet[other].1, fleet[at].1);
-            if let Role::Follower(back) = &roles[other] {
-                assert!(!back.contains(&addr(1_000 + at as u16)));
-            }
+            assert!(!roles[other].sources.contains(&addr(1_000 + at as u16)));
         }
     }
 }
@@ -71,9 +67,7 @@
     let roles = roles(&fleet(1, 60));
     let mut first: Vec<SocketAddr> = Vec::new();
     for role in &roles {
-        if let Role::Follower(nodes) = role {
-            first.push(nodes[0]);
-        }
+        first.extend(role.sources.first());
     }
     let largest = first
         .iter()
@@ -84,7 +78,7 @@
 
 #[test]
 fn role_unlisted_node_reads() {
-    assert_eq!(role("vm-x", std::iter::empty()), Role::Reader);
+    assert!(role("vm-x", std::iter::empty()).is_reader());
 }
 
 struct Node {
@@ -103,11 +97,34 @@
             connected: None,
             is_reading: false,
         };
-        let nodes = vec![addr(1), addr(2), addr(3)];
-        node.step(|follow, now, out| follow.set_role(Role::Follower(nodes), now, out));
+        node.set_sources(&[1, 2, 3]);
+        node
+    }
+
+    /// Creates a node that reads the store, in a fleet with other readers.
+    fn reader() -> Self {
+        let mut node = Self {
+            follow: Follow::default(),
+            now: Time::from_millis(1_000),
+            connected: None,
+            is_reading: false,
+        };
+        node.set_sources(&[]);
         node
     }
 
+    fn set_sources(&mut self, ports: &[u16]) {
+        let role = Role {
+            sources: ports.iter().copied().map(addr).collect(),
+            fallbacks: vec![addr(11), addr(12)],
+        };
+        self.step(|follow, now, out| follow.set_role(role, now, out));
+    }
+
+    fn set_contact(&mut self, is_known: bool) {
+        self.step(|follow, now, out| follow.set_contact(is_known, now, out));
+    }
+
     fn step<F>(&mut self, act: F)
     where
         F: FnOnce(&mut Follow, Time, &mut Vec<Step>),
@@ -213,13 +230,60 @@
 fn set_role_keeps_the_followed_node() {
     let mut node = Node::follower();
     node.hear();
-    let nodes = vec![addr(7), addr(1)];
-    node.step(|follow, now, out| follow.set_role(Role::Follower(nodes), now, out));
+    node.set_sources(&[7, 1]);
     assert_eq!(node.connected, Some(addr(1)));
-    let nodes = vec![addr(7), addr(8)];
-    node.step(|follow, now, out| follow.set_role(Role::Follower(nodes), now, out));
+    node.set_sources(&[7, 8]);
     assert_eq!(node.connected, Some(addr(7)));
-    node.step(|follow, now, out| follow.set_role(Role::Reader, now, out));
+    node.set_sources(&[]);
+    assert_eq!(node.connected, None);
+    assert!(node.is_reading);
+}
+
+/// A node that is cut off from the store follows a reader elsewhere, and goes on trying the store.
+#[test]
+fn set_contact_lost_follows_another_reader() {
+    let mut node = Node::reader();
+    assert!(node.is_reading);
+    node.set_contact(false);
+    assert_eq!(node.connected, Some(addr(11)));
+    node.lose();
+    assert_eq!(node.connected, Some(addr(12)));
+    node.hear();
+    assert!(node.is_reading && node.follow.is_following());
+
+    // What it read meanwhile is out of date: it begins anew.
+    node.set_contact(true);
     assert_eq!(node.connected, None);
+    assert!(node.is_reading && !node.follow.is_following());
+}
+
+/// While nobody has contact, the search goes on at intervals.
+#[test]
+fn set_contact_lost_by_all_searches_on() {
+    let mut node = Node::reader();
+    node.set_contact(false);
+    node.lose();
+    node.lose();
+    assert_eq!(node.connected, None);
+    node.pass(Duration::from_millis(2_100));
+    assert_eq!(node.connected, Some(addr(11)));
     assert!(node.is_reading);
 }
+
+/// A follower that has lost its sources and cannot reach the store follows a reader elsewhere, then one
+/// of its own domain again.
+#[test]
+fn set_contact_lost_by_a_follower() {
+    let mut node = Node::follower();
+    for _ in 0..3 {
+        node.lose();
+    }
+    node.set_contact(false);
+    node.hear();
+    assert_eq!(node.connected, Some(addr(11)));
+    node.set_contact(true);
+    node.pass(Duration::from_millis(5_100));
+    assert_eq!(node.connected, Some(addr(1)));
+    node.hear();
+    assert!(!node.is_reading);
+}
--- a/programs/standin/src/ports.rs
+++ b/programs/standin/src/ports.rs
@@ -1,7 +1,7 @@
 //! Ports for processes whose settings name them before they listen.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::Mutex;
 
 /// Lowest port handed out. All lie below those that the system gives to connections, so that no
 /// connection takes one between the look and its use.
@@ -18,10 +18,16 @@
 ///
 /// If none are left.
 pub fn free_addrs(count: u16) -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
+    static NEXT: Mutex<u16> = Mutex::new(0);
     let base = FIRST + (std::process::id() % PROCESSES) as u16 * PER_PROCESS;
+    let mut next = NEXT.lock().expect("no panic while locked");
     for _ in 0..PER_PROCESS {
-        let offset = NEXT.fetch_add(count, Ordering::SeqCst) % (PER_PROCESS - count);
+        let offset = if *next + count > PER_PROCESS {
+            0
+        } else {
+            *next
+        };
+        *next = offset + count;
         let addr = |at: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, base + offset + at));
         if (0..count).all(|at| TcpListener::bind(addr(at)).is_ok()) {
             return addr(0);
