Resolve what a query needs once, and admit it by the response times that it counts with

The digest of a query's shards was computed twice, and a split query asked for admission by the usual time of direct calls while it counted with that of segments; one type now holds the services, the digest and the key. A shard's start was always its request's, and two parameters were never used.

--- a/crates/edge/src/edge/arrive.rs
+++ b/crates/edge/src/edge/arrive.rs
@@ -12,7 +12,7 @@
 use crate::config::{Name, Route, Target};
 use crate::job::{BUSY_RETRY, Job, NO_LEAF_RETRY, least_shards};
 use crate::pace::Pace;
-use crate::segment::{SegmentCall, digest, is_segment, range, segment_name};
+use crate::segment::{SegmentCall, digest, range, segment_name};
 
 /// Share of the objective that a request may be expected to wait for a leaf.
 const QUEUE_SHARE: f64 = 0.5;
@@ -27,6 +27,36 @@
 /// Retry advice while no configuration is known.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
+/// What a request needs answers of.
+pub(super) struct Targets {
+    /// Services, or segments, and the shards that each stands for.
+    services: Vec<(Name, usize)>,
+    /// Digest of all shards, if they are cut into segments.
+    digest: Option<u64>,
+}
+
+impl Targets {
+    /// Returns targets that are called directly.
+    fn whole<'a, S>(services: S) -> Self
+    where
+        S: IntoIterator<Item = &'a Name>,
+    {
+        let services = services.into_iter().map(|service| (service.clone(), 1));
+        Self {
+            services: services.collect(),
+            digest: None,
+        }
+    }
+
+    /// Returns the name under which response times of the calls are tracked.
+    fn pace_key(&self, route: &Route) -> Name {
+        match self.digest {
+            Some(_) => Name::from(format!("{} by segments", route.name)),
+            None => route.name.clone(),
+        }
+    }
+}
+
 impl Edge {
     /// Begins to serve a request.
     pub fn request(&mut self, inquiry: &Inquiry<'_>, now: Time, out: &mut Vec<Action>) {
@@ -49,7 +79,7 @@
             self.reply_early(token, Reply::NoRoute, summary, out);
             return;
         };
-        let Some(services) = self.resolve(route, inquiry.segment.as_ref(), now) else {
+        let Some(targets) = self.resolve(route, inquiry.segment.as_ref(), now) else {
             let reply = Reply::Rejected {
                 reason: "the segment belongs to another configuration",
                 retry_after: NO_CONFIG_RETRY,
@@ -57,11 +87,12 @@
             self.reply_early(token, reply, Summary::default(), out);
             return;
         };
-        for (service, _) in &services {
+        let services = &targets.services;
+        for (service, _) in services {
             let callers = self.callers(service);
             self.shares.earn(service, callers, now);
         }
-        if let Some(reply) = self.rejection(route, &services, inquiry.segment.is_some()) {
+        if let Some(reply) = self.rejection(route, &targets, inquiry.segment.is_some()) {
             let summary = Summary {
                 route: Some(route.name.clone()),
                 version: config.version,
@@ -72,8 +103,8 @@
             return;
         }
         let patience = inquiry.patience.unwrap_or(route.timeout);
-        let mut job = Job::new(route.clone(), config.version, &services, patience, now);
-        self.shape(&mut job, inquiry, now);
+        let mut job = Job::new(route.clone(), config.version, services, patience, now);
+        self.shape(&mut job, inquiry, &targets, now);
         job.usual = pace(&mut self.paces, &job.pace, route).usual();
         if let Some(admission) = self.admission(&job) {
             admission.begin(job.usual);
@@ -86,29 +117,28 @@
         self.settle(token, now, out);
     }
 
-    /// Returns the services that a request needs answers of, and the shards that each stands for; `None`
-    /// if the segment that is asked for does not fit the configuration.
+    /// Returns what a request needs answers of; `None` if the segment that is asked for does not fit the
+    /// configuration.
     fn resolve(
         &mut self,
         route: &Rc<Route>,
         segment: Option<&SegmentCall>,
         now: Time,
-    ) -> Option<Vec<(Name, usize)>> {
+    ) -> Option<Targets> {
         let shards = match &route.target {
-            Target::Service(service) => return Some(vec![(service.clone(), 1)]),
+            Target::Service(service) => return Some(Targets::whole([service])),
             Target::Split(parts) => {
                 let service = self.splits.next(&route.name, parts);
-                return Some(service.into_iter().map(|service| (service, 1)).collect());
+                return Some(Targets::whole(&service));
             }
             Target::FanOut(shards, _) => shards,
         };
         if let Some(segment) = segment {
             let range = segment.range(shards)?;
-            let part = shards[range].iter().map(|shard| (shard.clone(), 1));
-            return Some(part.collect());
+            return Some(Targets::whole(&shards[range]));
         }
         if !self.needs_segments(shards) {
-            return Some(shards.iter().map(|shard| (shard.clone(), 1)).collect());
+            return Some(Targets::whole(shards));
         }
         let digest = digest(shards);
         let count = shards.len().div_ceil(self.segment_shards);
@@ -117,7 +147,10 @@
             self.place_segment(&name, now);
             (name, range(index, count, shards.len()).len())
         });
-        Some(segments.collect())
+        Some(Targets {
+            services: segments.collect(),
+            digest: Some(digest),
+        })
     }
 
     /// Returns whether a query's shards have fewer connections than there are nodes.
@@ -127,7 +160,7 @@
     }
 
     /// Notes in a job whether it is cut into segments, or is one.
-    fn shape(&self, job: &mut Job, inquiry: &Inquiry<'_>, now: Time) {
+    fn shape(&self, job: &mut Job, inquiry: &Inquiry<'_>, targets: &Targets, now: Time) {
         if inquiry.is_first {
             job.note_opening();
         }
@@ -136,16 +169,13 @@
             job.answer_by = now + segment.budget;
             return;
         }
-        let Target::FanOut(shards, _) = &job.route.target else {
-            return;
-        };
-        if job.shards.iter().any(|shard| is_segment(&shard.service)) {
-            job.digest = Some(digest(shards));
-            let segments = job.shards.len() as u32;
+        if targets.digest.is_some() {
+            let segments = targets.services.len() as u32;
             job.answer_by = (job.answer_by - self.own_time(MERGE_WORK)).max(job.began);
             job.answer_reserve = SEGMENT_WAY + self.own_time(SEGMENT_WORK * segments);
-            job.pace = Name::from(format!("{} by segments", job.route.name));
         }
+        job.digest = targets.digest;
+        job.pace = targets.pace_key(&job.route);
     }
 
     /// Returns how long this node takes for an amount of processor time.
@@ -160,9 +190,10 @@
     pub(super) fn rejection(
         &mut self,
         route: &Rc<Route>,
-        services: &[(Name, usize)],
+        targets: &Targets,
         is_part: bool,
     ) -> Option<Reply> {
+        let services = &targets.services;
         let needed = match &route.target {
             Target::FanOut(..) if is_part => 1,
             Target::FanOut(_, gather) => least_shards(services.len(), gather.min_coverage),
@@ -202,7 +233,7 @@
         if is_part {
             return None;
         }
-        let usual = pace(&mut self.paces, &route.name, route).usual();
+        let usual = pace(&mut self.paces, &targets.pace_key(route), route).usual();
         let admission = self.admissions.get_mut(shards.first()?)?;
         if admission.admits(usual, route.priority) {
             return None;
--- a/crates/edge/src/edge/outcome.rs
+++ b/crates/edge/src/edge/outcome.rs
@@ -73,11 +73,12 @@
             return;
         };
         let is_idempotent = job.is_idempotent();
+        let elapsed = now.since(job.began);
         let shard = &mut job.shards[call.shard];
         let cause = match end {
             CallEnd::Answer(answer) if answer.is_success() => {
                 shard.state = ShardState::Done(answer);
-                shard.response = Some(now.since(shard.since));
+                shard.response = Some(elapsed);
                 return;
             }
             CallEnd::Answer(answer) => {
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -63,10 +63,8 @@
     pub(crate) sent_at: Time,
     /// When it is looked at again: to hedge, or to ask for a leaf.
     pub(crate) look_at: Time,
-    /// Time from the first call to the answer.
+    /// Time from the request to the answer.
     pub(crate) response: Option<Duration>,
-    /// When the first call was sent, or wanted.
-    pub(crate) since: Time,
     /// The latest failure that a leaf answered with.
     pub(crate) failure: Option<Answer>,
 }
@@ -86,7 +84,6 @@
             sent_at: now,
             look_at: Time::MAX,
             response: None,
-            since: now,
             failure: None,
         }
     }
@@ -220,7 +217,7 @@
             .shards
             .iter()
             .filter(|shard| !matches!(shard.state, ShardState::Lost(_)))
-            .map(|shard| shard.response.unwrap_or_else(|| now.since(shard.since)))
+            .map(|shard| shard.response.unwrap_or_else(|| now.since(self.began)))
             .collect();
         let last = times.len().checked_sub(1)?;
         let rank = (LOAD_QUANTILE * last as f64).round() as usize;
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -105,7 +105,7 @@
     names: &HeaderNames,
 ) -> (Option<Connection>, CallEnd) {
     let started = Instant::now();
-    let Some(mut request) = request(call, inbound, names, Duration::ZERO) else {
+    let Some(mut request) = request(call, inbound, names) else {
         return (idle, CallEnd::Unsent);
     };
     // An idle connection that the leaf has closed gives the request back unsent.
@@ -121,7 +121,7 @@
     let Some(mut sender) = open(call).await else {
         return (None, CallEnd::Unsent);
     };
-    if let Some(budget) = budget(call, names, started.elapsed()) {
+    if let Some(budget) = budget(call, started.elapsed()) {
         request.headers_mut().insert(names.deadline.clone(), budget);
     }
     match sender.try_send_request(request).await {
@@ -147,25 +147,19 @@
 }
 
 /// Returns how long the leaf may work on a call, `elapsed` after the call began.
-fn budget(call: &Send, names: &HeaderNames, elapsed: Duration) -> Option<HeaderValue> {
-    debug_assert!(!names.deadline.as_str().is_empty());
+fn budget(call: &Send, elapsed: Duration) -> Option<HeaderValue> {
     let left = call.budget.saturating_sub(elapsed).as_millis().max(1);
     HeaderValue::from_str(&left.to_string()).ok()
 }
 
-fn request(
-    call: &Send,
-    inbound: &Inbound,
-    names: &HeaderNames,
-    elapsed: Duration,
-) -> Option<Request<Full<Bytes>>> {
+fn request(call: &Send, inbound: &Inbound, names: &HeaderNames) -> Option<Request<Full<Bytes>>> {
     let path = inbound.uri.path_and_query()?.as_str();
     let mut request = Request::new(Full::new(inbound.body.clone()));
     *request.method_mut() = inbound.method.clone();
     *request.uri_mut() = path.parse::<Uri>().ok()?;
     *request.headers_mut() = inbound.headers.clone();
     let headers = request.headers_mut();
-    headers.insert(names.deadline.clone(), budget(call, names, elapsed)?);
+    headers.insert(names.deadline.clone(), budget(call, Duration::ZERO)?);
     if let Some(call) = &call.segment {
         headers.insert(segment::SEGMENT, segment::encode(call)?);
     } else {
