Keep one copy of the metrics exporter, the questions to a hub and the metrics page

The gateway repeated what the node has. The exporter is generic over the counters now; each daemon keeps its table. A poisoned lock is logged instead of passed over.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -4,15 +4,12 @@
 use std::rc::Rc;
 
 use compio::net::TcpListener;
-use futures_channel::oneshot;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use monsoondeal_node::ask::ask;
 use monsoondeal_node::http::{self, Body};
 
-use crate::event::{Event, EventSender, send};
-
-/// Type of the metrics in text form.
-const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+use crate::event::{Event, EventSender};
 
 /// Answers the balancer until the process ends.
 pub(crate) async fn listen_ready(
@@ -41,7 +38,7 @@
     match request.uri().path() {
         "/metrics" => {
             let text = ask(&events, Event::Metrics).await.unwrap_or_default();
-            http::respond(StatusCode::OK, METRICS_TYPE, text.into_bytes())
+            http::metrics(text)
         }
         "/state" => {
             let state = ask(&events, Event::Dump).await.unwrap_or_default();
@@ -53,12 +50,3 @@
         }
     }
 }
-
-async fn ask<T, F>(events: &EventSender, question: F) -> Option<T>
-where
-    F: FnOnce(oneshot::Sender<T>) -> Event,
-{
-    let (sender, receiver) = oneshot::channel();
-    send(events, question(sender));
-    receiver.await.ok()
-}
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use monsoondeal_node::metrics::MetricsError;
 use quick_error::quick_error;
 
 quick_error! {
@@ -15,8 +16,10 @@
             source(source)
         }
         /// The metrics could not be set up.
-        Metrics(text: String) {
-            display("cannot set up metrics: {text}")
+        Metrics(source: MetricsError) {
+            from()
+            display("{source}")
+            source(source)
         }
     }
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -13,8 +13,9 @@
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use monsoondeal_core::{CallId, Clock, LeafId, Time};
-use monsoondeal_edge::{Action, Edge, Inquiry, Removal, Reply, Send, Summary, Token};
+use monsoondeal_edge::{Action, Counts, Edge, Inquiry, Removal, Reply, Send, Summary, Token};
 
+use monsoondeal_node::metrics::Metrics;
 use monsoondeal_node::signals::SignalReceiver;
 
 use crate::error::GatewayError;
@@ -22,10 +23,9 @@
 use crate::front::FrontState;
 use crate::leafs::Connection;
 use crate::logs::{Logs, outcome};
-use crate::metrics::Metrics;
 use crate::relay::Relay;
 use crate::settings::{GatewaySettings, HeaderNames, StopSettings};
-use crate::{admin, front, leafs};
+use crate::{admin, counters, front, leafs};
 
 /// Most events handled before timers are looked at again.
 const EVENT_BATCH: usize = 64;
@@ -84,7 +84,7 @@
         names,
         front: state,
         is_ready,
-        metrics: Metrics::new()?,
+        metrics: Metrics::new(&counters::COUNTERS, &counters::RESPONSE_BUCKETS)?,
         logs: Logs::default(),
         requests: HashMap::new(),
         calls: HashMap::new(),
@@ -140,7 +140,7 @@
     names: Rc<HeaderNames>,
     front: FrontState,
     is_ready: Rc<Cell<bool>>,
-    metrics: Metrics,
+    metrics: Metrics<Counts>,
     logs: Logs,
     requests: HashMap<Token, Caller>,
     /// Calls under way. Dropping a task closes the call's connection.
@@ -394,7 +394,7 @@
             return;
         };
         let id = String::from_utf8_lossy(&caller.inbound.id);
-        self.metrics.on_reply(outcome(&reply).0, summary.elapsed);
+        self.metrics.on_response(outcome(&reply).0, summary.elapsed);
         self.logs.reply(&id, &reply, summary);
         let _ = caller.sender.send(reply);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod admin;
+mod counters;
 mod dial;
 mod error;
 mod event;
@@ -14,7 +15,6 @@
 mod hub;
 mod leafs;
 mod logs;
-mod metrics;
 mod relay;
 mod segment;
 mod settings;
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -1,16 +1,13 @@
 //! The operators' interface: `/ready`, `/metrics` and `/state`.
 
 use compio::net::TcpListener;
-use futures_channel::oneshot;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
-use crate::event::{Event, EventSender, send};
+use crate::ask::ask;
+use crate::event::{Event, EventSender};
 use crate::http::{self, Body};
 
-/// Type of the metrics in text form.
-const METRICS_TYPE: &str = "text/plain; version=0.0.4";
-
 /// Serves operators until the process ends.
 pub(crate) async fn listen(listener: TcpListener, events: EventSender) {
     http::listen(listener, move |request| handle(request, events.clone())).await;
@@ -27,7 +24,7 @@
         },
         "/metrics" => {
             let text = ask(&events, Event::Metrics).await.unwrap_or_default();
-            http::respond(StatusCode::OK, METRICS_TYPE, text.into_bytes())
+            http::metrics(text)
         }
         "/state" => {
             let state = ask(&events, Event::Dump).await.unwrap_or_default();
@@ -39,12 +36,3 @@
         }
     }
 }
-
-async fn ask<T, F>(events: &EventSender, question: F) -> Option<T>
-where
-    F: FnOnce(oneshot::Sender<T>) -> Event,
-{
-    let (sender, receiver) = oneshot::channel();
-    send(events, question(sender));
-    receiver.await.ok()
-}
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -5,6 +5,8 @@
 
 use quick_error::quick_error;
 
+use crate::metrics::MetricsError;
+
 quick_error! {
     /// `NodeError` is why a node could not start or go on.
     #[derive(Debug)]
@@ -20,8 +22,10 @@
             source(source)
         }
         /// The metrics could not be set up.
-        Metrics(text: String) {
-            display("cannot set up metrics: {text}")
+        Metrics(source: MetricsError) {
+            from()
+            display("{source}")
+            source(source)
         }
     }
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -41,6 +41,9 @@
     pub(crate) const NOT_RUN: &str = "x-not-run";
 }
 
+/// Type of the metrics in text form.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
 /// Body of responses.
 pub type Body = Full<Bytes>;
 
@@ -99,3 +102,8 @@
     }
     response
 }
+
+/// Returns a response with the metrics in text form.
+pub fn metrics(text: String) -> Response<Body> {
+    respond(StatusCode::OK, METRICS_TYPE, text.into_bytes())
+}
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -13,7 +13,7 @@
 use monsoondeal_config::NodeSettings;
 use monsoondeal_core::{Clock, LeafId, NodeId, Time};
 use monsoondeal_engine::io::{LeafCall, LinkId, Response, Token};
-use monsoondeal_engine::{Engine, EngineSettings, Input, Output};
+use monsoondeal_engine::{Counts, Engine, EngineSettings, Input, Output};
 use monsoondeal_limit::OnceSettings;
 use monsoondeal_member::{CellSettings, Member};
 use monsoondeal_moves::WallClock;
@@ -27,7 +27,7 @@
 use crate::peers::{Identity, Outbox};
 use crate::signals::SignalReceiver;
 use crate::store::Store;
-use crate::{admin, callers, leafs, links, peers, store};
+use crate::{admin, callers, counters, leafs, links, peers, store};
 
 /// Most events handled before timers are looked at again.
 const EVENT_BATCH: usize = 256;
@@ -83,7 +83,7 @@
         events,
         identity,
         state,
-        metrics: Metrics::new()?,
+        metrics: Metrics::new(&counters::COUNTERS, &counters::RESPONSE_BUCKETS)?,
         store: Store::new(&settings.store),
         drain: settings.drain,
         callers: HashMap::new(),
@@ -171,7 +171,7 @@
     events: EventSender,
     identity: Identity,
     state: CallerState,
-    metrics: Metrics,
+    metrics: Metrics<Counts>,
     store: Store,
     drain: Duration,
     callers: HashMap<Token, Caller>,
@@ -326,7 +326,8 @@
     fn respond(&mut self, token: Token, response: Response) {
         if let Some(caller) = self.callers.remove(&token) {
             let elapsed = self.clock.now().since(caller.since);
-            self.metrics.on_response(&response, elapsed);
+            self.metrics
+                .on_response(counters::outcome(&response), elapsed);
             let _ = caller.sender.send(response);
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,9 @@
 //! Everything runs on one thread.
 
 mod admin;
+pub mod ask;
 mod callers;
+mod counters;
 mod error;
 pub mod event;
 pub mod frame;
@@ -20,7 +22,7 @@
 mod hub;
 mod leafs;
 mod links;
-mod metrics;
+pub mod metrics;
 mod peers;
 pub mod signals;
 pub mod store;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -3,47 +3,63 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use monsoondeal_engine::Counts;
-use monsoondeal_engine::io::Response;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use quick_error::quick_error;
 
-use crate::error::NodeError;
+quick_error! {
+    /// `MetricsError` is why the metrics could not be set up.
+    #[derive(Debug)]
+    pub enum MetricsError {
+        /// The exporter could not be built.
+        Exporter(text: String) {
+            display("cannot set up metrics: {text}")
+        }
+    }
+}
 
-/// Bounds of the response time buckets, in seconds.
-const RESPONSE_BUCKETS: [f64; 12] = [
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.073, 0.1, 0.25, 0.5, 1.0,
-];
+/// `Counter` is one counter of `C`: its name, its description and how it is read.
+pub type Counter<C> = (&'static str, &'static str, fn(&C) -> u64);
 
-/// `Metrics` export the counters of the engine and the response times.
-pub(crate) struct Metrics {
+/// `Metrics` export the counters in `C` and the response times.
+pub struct Metrics<C> {
     registry: Registry,
     /// Counters as of the last export.
-    counts: Arc<Mutex<Counts>>,
+    counts: Arc<Mutex<C>>,
     response: Histogram<f64>,
     /// Keeps the instruments alive.
     _provider: SdkMeterProvider,
 }
 
-impl Metrics {
-    pub(crate) fn new() -> Result<Self, NodeError> {
+impl<C> Metrics<C>
+where
+    C: Default + Send + 'static,
+{
+    /// Sets up these counters, and a histogram of response times with these bounds, in seconds.
+    ///
+    /// # Errors
+    ///
+    /// If the exporter cannot be built.
+    pub fn new(counters: &[Counter<C>], buckets: &[f64]) -> Result<Self, MetricsError> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .with_namespace("monsoondeal")
             .build()
-            .map_err(|error| NodeError::Metrics(error.to_string()))?;
+            .map_err(|error| MetricsError::Exporter(error.to_string()))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("monsoondeal");
-        let counts = Arc::new(Mutex::new(Counts::default()));
-        register(&meter, &counts);
+        let counts = Arc::new(Mutex::new(C::default()));
+        for counter in counters {
+            register(&meter, *counter, &counts);
+        }
         let response = meter
             .f64_histogram("response_time")
             .with_unit("s")
             .with_description("Time from a request to its response, by outcome")
-            .with_boundaries(RESPONSE_BUCKETS.to_vec())
+            .with_boundaries(buckets.to_vec())
             .build();
         Ok(Self {
             registry,
@@ -54,21 +70,16 @@
     }
 
     /// Records a response.
-    pub(crate) fn on_response(&self, response: &Response, elapsed: Duration) {
-        let outcome = match response {
-            Response::Answered(_) => "answered",
-            Response::NotRun(_) => "not_run",
-            Response::Unknown(_) => "unknown",
-            Response::Fault(_) => "fault",
-        };
+    pub fn on_response(&self, outcome: &'static str, elapsed: Duration) {
         self.response
             .record(elapsed.as_secs_f64(), &[KeyValue::new("outcome", outcome)]);
     }
 
     /// Returns all metrics as text.
-    pub(crate) fn export(&self, counts: Counts) -> String {
-        if let Ok(mut latest) = self.counts.lock() {
-            *latest = counts;
+    pub fn export(&self, counts: C) -> String {
+        match self.counts.lock() {
+            Ok(mut latest) => *latest = counts,
+            Err(error) => log::error!("cannot update the counters: {error}"),
         }
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
@@ -78,53 +89,18 @@
     }
 }
 
-/// A counter: its name, its description and how it is read.
-type CounterSpec = (&'static str, &'static str, fn(&Counts) -> u64);
-
-/// All counters.
-const COUNTERS: [CounterSpec; 13] = [
-    ("requests", "Requests of callers", |c| c.requests),
-    ("answered", "Requests answered", |c| c.answered),
-    (
-        "full_answers",
-        "Answers that cover the whole partition map",
-        |c| c.full,
-    ),
-    ("not_run", "Requests proved not run", |c| c.not_run),
-    ("unknown", "Requests that may have run", |c| c.unknown),
-    ("faults", "Requests at fault themselves", |c| c.faults),
-    ("calls", "Calls issued for queries", |c| c.calls),
-    ("hedges", "Hedged calls among them", |c| c.hedges),
-    ("leaf_calls", "Calls sent to leafs held by this node", |c| {
-        c.leaf_calls
-    }),
-    (
-        "refused_calls",
-        "Calls refused by this node as the holder",
-        |c| c.refused,
-    ),
-    ("mismatches", "Leaf answers from another snapshot", |c| {
-        c.mismatches
-    }),
-    (
-        "control_messages",
-        "Messages sent to peers for control",
-        |c| c.control_messages,
-    ),
-    ("store_calls", "Store reads and writes", |c| c.store_calls),
-];
-
-fn register(meter: &Meter, counts: &Arc<Mutex<Counts>>) {
-    for (name, description, read) in COUNTERS {
-        let counts = counts.clone();
-        let observe = move |observer: &dyn opentelemetry::metrics::AsyncInstrument<u64>| {
-            if let Ok(latest) = counts.lock() {
-                observer.observe(read(&latest), &[]);
-            }
-        };
-        let counter = meter
-            .u64_observable_counter(name)
-            .with_description(description);
-        counter.with_callback(observe).build();
-    }
+fn register<C>(meter: &Meter, (name, description, read): Counter<C>, counts: &Arc<Mutex<C>>)
+where
+    C: Send + 'static,
+{
+    let counts = counts.clone();
+    let observe = move |observer: &dyn opentelemetry::metrics::AsyncInstrument<u64>| {
+        if let Ok(latest) = counts.lock() {
+            observer.observe(read(&latest), &[]);
+        }
+    };
+    let counter = meter
+        .u64_observable_counter(name)
+        .with_description(description);
+    counter.with_callback(observe).build();
 }
