--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -9,12 +9,13 @@
 use monsoondeal_moves::WallClock;
 use monsoondeal_route::{QuerySettings, ReplicaSettings};
 
-use crate::control::{Config, Control, Link, Peer};
+use crate::control::{Config, Control};
 use crate::counts::Counts;
 use crate::entry::{Entry, QueryId};
 use crate::holder::Holder;
 use crate::home::Home;
 use crate::io::{Input, LinkId, Output};
+use crate::links::{Link, Peer};
 use crate::message::{Call, CallEnd, Message, Order, OrderEnd};
 use crate::placement::Seats;
 use crate::roles::Roles;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,6 +22,7 @@
 mod holder;
 mod home;
 pub mod io;
+mod links;
 pub mod message;
 mod orders;
 mod placement;
