--- a/programs/standin/src/ports.rs
+++ b/programs/standin/src/ports.rs
@@ -1,7 +1,7 @@
 //! Ports for processes whose settings name them before they listen.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::Mutex;
+use std::sync::{Mutex, OnceLock};
 
 /// Lowest port handed out. All lie below those that the system gives to connections, so that no
 /// connection takes one between the look and its use.
@@ -11,6 +11,22 @@
 /// Processes that use different ports.
 const PROCESSES: u32 = 100;
 
+/// Returns the lowest port of this process's own ports. It is held, so that no other process hands out
+/// ports above it, not even one whose owner does not listen for a moment.
+fn own_ports() -> u16 {
+    static HELD: OnceLock<(TcpListener, u16)> = OnceLock::new();
+    let (_, first) = HELD.get_or_init(|| {
+        let ranges = (0..PROCESSES).map(|at| (std::process::id() + at) % PROCESSES);
+        let held = ranges.into_iter().find_map(|range| {
+            let first = FIRST + range as u16 * PER_PROCESS;
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, first)).ok()?;
+            Some((listener, first))
+        });
+        held.expect("ports that no other process has")
+    });
+    *first
+}
+
 /// Returns the first of `count` successive loopback addresses that nothing listens on. An address is
 /// handed out again only after all others of the process.
 ///
@@ -18,17 +34,17 @@
 ///
 /// If none are left.
 pub fn free_addrs(count: u16) -> SocketAddr {
-    static NEXT: Mutex<u16> = Mutex::new(0);
-    let base = FIRST + (std::process::id() % PROCESSES) as u16 * PER_PROCESS;
+    static NEXT: Mutex<u16> = Mutex::new(1);
+    let first = own_ports();
     let mut next = NEXT.lock().expect("no panic while locked");
     for _ in 0..PER_PROCESS {
         let offset = if *next + count > PER_PROCESS {
-            0
+            1
         } else {
             *next
         };
         *next = offset + count;
-        let addr = |at: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, base + offset + at));
+        let addr = |at: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, first + offset + at));
         if (0..count).all(|at| TcpListener::bind(addr(at)).is_ok()) {
             return addr(0);
         }
