Tell how long ago the configuration was known to be the newest one

Callers got 404 for a route that is there. The line of such a request named the node's version, but not whether the node had had any word of the store since: a node that is behind, one whose decoded configuration lacks the route and one that is right looked alike. Now `request answered` has `config_age_ms`, collectors get the gauge `monsoondeal_config_age_ms`, and the state dump has it.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -1,7 +1,19 @@
-//! The counters of the direct path, as collectors see them.
+//! The counters and gauges of the direct path, as collectors see them.
+
+use std::time::Duration;
 
 use monsoondeal_edge::Counts;
-use monsoondeal_node::metrics::Counter;
+use monsoondeal_node::metrics::{Counter, Gauge};
+
+use crate::logs::millis;
+
+/// What collectors see.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Figures {
+    pub(crate) counts: Counts,
+    /// How long ago the configuration was last known to be the newest one.
+    pub(crate) config_age: Option<Duration>,
+}
 
 /// Bounds of the response time buckets, in seconds.
 pub(crate) const RESPONSE_BUCKETS: [f64; 12] = [
@@ -9,25 +21,42 @@
 ];
 
 /// All counters.
-pub(crate) const COUNTERS: [Counter<Counts>; 14] = [
-    ("requests", "Requests of callers", |c| c.requests),
-    ("answered", "Requests answered in full", |c| c.answered),
-    ("partial", "Responses that leave shards out", |c| c.partial),
-    ("rejected", "Requests rejected as not run", |c| c.rejected),
-    ("failed", "Requests that failed and may have run", |c| {
-        c.failed
-    }),
-    ("timed_out", "Requests without an answer in time", |c| {
-        c.timed_out
-    }),
-    ("no_route", "Requests without a route", |c| c.no_route),
-    ("left", "Requests whose caller left", |c| c.left),
-    ("calls", "Calls sent to leafs", |c| c.calls),
-    ("hedges", "Hedged calls among them", |c| c.hedges),
-    ("retries", "Retried calls among them", |c| c.retries),
-    ("refused", "Calls that leafs refused", |c| c.refused),
-    ("broken", "Calls whose answer was lost or unusable", |c| {
-        c.broken
-    }),
-    ("unsent", "Calls that could not be sent", |c| c.unsent),
+pub(crate) const COUNTERS: [Counter<Figures>; 14] = [
+    ("requests", "Requests of callers", |f| f.counts.requests),
+    ("answered", "Requests answered in full", |f| {
+        f.counts.answered
+    }),
+    ("partial", "Responses that leave shards out", |f| {
+        f.counts.partial
+    }),
+    ("rejected", "Requests rejected as not run", |f| {
+        f.counts.rejected
+    }),
+    ("failed", "Requests that failed and may have run", |f| {
+        f.counts.failed
+    }),
+    ("timed_out", "Requests without an answer in time", |f| {
+        f.counts.timed_out
+    }),
+    ("no_route", "Requests without a route", |f| {
+        f.counts.no_route
+    }),
+    ("left", "Requests whose caller left", |f| f.counts.left),
+    ("calls", "Calls sent to leafs", |f| f.counts.calls),
+    ("hedges", "Hedged calls among them", |f| f.counts.hedges),
+    ("retries", "Retried calls among them", |f| f.counts.retries),
+    ("refused", "Calls that leafs refused", |f| f.counts.refused),
+    ("broken", "Calls whose answer was lost or unusable", |f| {
+        f.counts.broken
+    }),
+    ("unsent", "Calls that could not be sent", |f| {
+        f.counts.unsent
+    }),
 ];
+
+/// All gauges.
+pub(crate) const GAUGES: [Gauge<Figures>; 1] = [(
+    "config_age_ms",
+    "Time since the configuration was known to be the newest one, -1 before that",
+    |f| millis(f.config_age),
+)];
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -21,6 +21,8 @@
 pub enum Update {
     /// A version of the configuration.
     Config(Rc<Config>),
+    /// The configuration told last is the newest one that the store holds.
+    ConfigCurrent,
     /// All leafs, after which only changes are told.
     Leafs(Vec<LeafEntry>),
     /// A leaf that is new or says something new.
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -13,19 +13,20 @@
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use monsoondeal_core::{CallId, Clock, LeafId, Time};
-use monsoondeal_edge::{Action, Counts, Edge, Inquiry, Removal, Reply, Send, Summary, Token};
+use monsoondeal_edge::{Action, Edge, Inquiry, Removal, Reply, Send, Summary, Token};
 
 use monsoondeal_node::metrics::Metrics;
 use monsoondeal_node::signals::SignalReceiver;
 
+use crate::counters::{self, Figures};
 use crate::error::GatewayError;
 use crate::event::{DecisionSender, Event, EventSender, Inbound, ReadingSender, Update, send};
 use crate::front::FrontState;
 use crate::leafs::Connection;
-use crate::logs::{Logs, outcome};
+use crate::logs::{Logs, millis, outcome};
 use crate::relay::Relay;
 use crate::settings::{GatewaySettings, HeaderNames, StopSettings};
-use crate::{admin, counters, front, leafs};
+use crate::{admin, front, leafs};
 
 /// Most events handled before timers are looked at again.
 const EVENT_BATCH: usize = 64;
@@ -84,9 +85,14 @@
         names,
         front: state,
         is_ready,
-        metrics: Metrics::new(&counters::COUNTERS, &counters::RESPONSE_BUCKETS)?,
+        metrics: Metrics::new(
+            &counters::COUNTERS,
+            &counters::GAUGES,
+            &counters::RESPONSE_BUCKETS,
+        )?,
         logs: Logs::default(),
         requests: HashMap::new(),
+        config_seen: None,
         calls: HashMap::new(),
         idle: HashMap::new(),
         stages: settings.stop,
@@ -140,9 +146,11 @@
     names: Rc<HeaderNames>,
     front: FrontState,
     is_ready: Rc<Cell<bool>>,
-    metrics: Metrics<Counts>,
+    metrics: Metrics<Figures>,
     logs: Logs,
     requests: HashMap<Token, Caller>,
+    /// When the configuration was last known to be the newest one.
+    config_seen: Option<Time>,
     /// Calls under way. Dropping a task closes the call's connection.
     calls: HashMap<CallId, (LeafId, JoinHandle<()>)>,
     /// Connections without a call, by leaf; the one used last stands last.
@@ -209,7 +217,7 @@
             }
             Event::Update(update) => self.on_update(update),
             Event::Metrics(sender) => {
-                let _ = sender.send(self.metrics.export(self.edge.counts()));
+                let _ = sender.send(self.metrics.export(self.figures()));
             }
             Event::Dump(sender) => {
                 let _ = sender.send(self.dump());
@@ -246,6 +254,7 @@
                     log::info!(version, routes; "configuration in force");
                 }
             }
+            Update::ConfigCurrent => self.config_seen = Some(self.clock.now()),
             Update::Leafs(entries) => {
                 log::info!(leafs = entries.len(); "leafs listed");
                 self.step(|edge, now, out| edge.replace_leafs(entries, now, out));
@@ -395,14 +404,27 @@
         };
         let id = String::from_utf8_lossy(&caller.inbound.id);
         self.metrics.on_response(outcome(&reply).0, summary.elapsed);
-        self.logs.reply(&id, &reply, summary);
+        self.logs.reply(&id, &reply, summary, self.config_age());
         let _ = caller.sender.send(reply);
     }
 
+    /// Returns how long ago the configuration was last known to be the newest one.
+    fn config_age(&self) -> Option<Duration> {
+        Some(self.clock.now().since(self.config_seen?))
+    }
+
+    fn figures(&self) -> Figures {
+        Figures {
+            counts: self.edge.counts(),
+            config_age: self.config_age(),
+        }
+    }
+
     fn dump(&self) -> serde_json::Value {
         serde_json::json!({
             "ready": self.is_ready.get(),
             "config": self.edge.config().map(|config| config.version),
+            "config_age_ms": millis(self.config_age()),
             "routes": self.edge.config().map_or(0, |config| config.route_count()),
             "leafs": self.edge.directory().len(),
             "nodes": self.edge.nodes(),
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -43,8 +43,15 @@
         true
     }
 
-    /// Writes how a request was answered.
-    pub(crate) fn reply(&mut self, id: &str, reply: &Reply, summary: &Summary) {
+    /// Writes how a request was answered, and how long ago the configuration was known to be the newest
+    /// one.
+    pub(crate) fn reply(
+        &mut self,
+        id: &str,
+        reply: &Reply,
+        summary: &Summary,
+        config_age: Option<Duration>,
+    ) {
         if !self.admit() {
             return;
         }
@@ -54,6 +61,7 @@
         log::info!(
             id, route, outcome, detail,
             config = summary.version,
+            config_age_ms = millis(config_age),
             shards = summary.shards,
             calls = summary.calls,
             hedges = summary.hedges,
@@ -87,6 +95,13 @@
     }
 }
 
+/// Returns a span in milliseconds, or -1 for none.
+pub(crate) fn millis(span: Option<Duration>) -> i64 {
+    span.map_or(-1, |span| {
+        i64::try_from(span.as_millis()).unwrap_or(i64::MAX)
+    })
+}
+
 /// Returns the outcome of a reply, and its detail.
 pub(crate) fn outcome(reply: &Reply) -> (&'static str, String) {
     match reply {
--- a/crates/gateway/src/relay/mirror.rs
+++ b/crates/gateway/src/relay/mirror.rs
@@ -57,7 +57,10 @@
             Update::ClosedDomains(domains) => self.domains = Some(domains.clone()),
             Update::Moves(orders) => self.moves = Some((orders.clone(), now)),
             Update::Peers(peers) => self.peers = Some(peers.clone()),
-            Update::RegistryLost | Update::Settings(_) | Update::Contact(_) => {}
+            Update::ConfigCurrent
+            | Update::RegistryLost
+            | Update::Settings(_)
+            | Update::Contact(_) => {}
         }
     }
 
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -83,7 +83,7 @@
         events,
         identity,
         state,
-        metrics: Metrics::new(&counters::COUNTERS, &counters::RESPONSE_BUCKETS)?,
+        metrics: Metrics::new(&counters::COUNTERS, &[], &counters::RESPONSE_BUCKETS)?,
         store: Store::new(&settings.store),
         drain: settings.drain,
         callers: HashMap::new(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -23,10 +23,13 @@
 /// `Counter` is one counter of `C`: its name, its description and how it is read.
 pub type Counter<C> = (&'static str, &'static str, fn(&C) -> u64);
 
-/// `Metrics` export the counters in `C` and the response times.
+/// `Gauge` is one figure of `C` that rises and falls: its name, its description and how it is read.
+pub type Gauge<C> = (&'static str, &'static str, fn(&C) -> i64);
+
+/// `Metrics` export the counters and gauges in `C` and the response times.
 pub struct Metrics<C> {
     registry: Registry,
-    /// Counters as of the last export.
+    /// Figures as of the last export.
     counts: Arc<Mutex<C>>,
     response: Histogram<f64>,
     /// Keeps the instruments alive.
@@ -37,12 +40,17 @@
 where
     C: Default + Send + 'static,
 {
-    /// Sets up these counters, and a histogram of response times with these bounds, in seconds.
+    /// Sets up these counters and gauges, and a histogram of response times with these bounds, in
+    /// seconds.
     ///
     /// # Errors
     ///
     /// If the exporter cannot be built.
-    pub fn new(counters: &[Counter<C>], buckets: &[f64]) -> Result<Self, MetricsError> {
+    pub fn new(
+        counters: &[Counter<C>],
+        gauges: &[Gauge<C>],
+        buckets: &[f64],
+    ) -> Result<Self, MetricsError> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -53,7 +61,10 @@
         let meter = provider.meter("monsoondeal");
         let counts = Arc::new(Mutex::new(C::default()));
         for counter in counters {
-            register(&meter, *counter, &counts);
+            register_counter(&meter, *counter, &counts);
+        }
+        for gauge in gauges {
+            register_gauge(&meter, *gauge, &counts);
         }
         let response = meter
             .f64_histogram("response_time")
@@ -89,7 +100,7 @@
     }
 }
 
-fn register<C>(meter: &Meter, (name, description, read): Counter<C>, counts: &Arc<Mutex<C>>)
+fn register_counter<C>(meter: &Meter, (name, description, read): Counter<C>, counts: &Arc<Mutex<C>>)
 where
     C: Send + 'static,
 {
@@ -104,3 +115,19 @@
         .with_description(description);
     counter.with_callback(observe).build();
 }
+
+fn register_gauge<C>(meter: &Meter, (name, description, read): Gauge<C>, counts: &Arc<Mutex<C>>)
+where
+    C: Send + 'static,
+{
+    let counts = counts.clone();
+    let observe = move |observer: &dyn opentelemetry::metrics::AsyncInstrument<i64>| {
+        if let Ok(latest) = counts.lock() {
+            observer.observe(read(&latest), &[]);
+        }
+    };
+    let gauge = meter
+        .i64_observable_gauge(name)
+        .with_description(description);
+    gauge.with_callback(observe).build();
+}
