Confirm watches that wait, and give up those that the store has lost

Callers got 404 for a route that was added, or the answer of an older version, for up to 31 s after the store had been silent; nodes believed to be in contact. A watch that waits looks like one whose call, or whose answer, was swallowed: the connection stays open and keep-alive probes are answered. The client waited 28 + 3 s for it. The same held for leafs, closed domains and version moves, and for the sign of life that followers rely on: it was asked for on another connection and said nothing of the watches.

While a watch waits, the same question is asked each second without waiting, at a tenth of the price. The watch is given up if there are changes that it has not told, or once the store answers again after it did not. A kind is confirmed by what it is about, so the separate sign of life (Reading::Proven, the call for the node's own entry) goes.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -40,8 +40,8 @@
     Moves(Vec<MoveOrder>),
     /// All nodes that share the leafs, this one included.
     Peers(Vec<Peer>),
-    /// Whether all kinds of the store are followed and it answered when it was asked for a sign of life.
-    /// It is each node's own view.
+    /// Whether the store was heard of, and all kinds that it holds can be followed. It is each node's own
+    /// view.
     #[serde(skip)]
     Contact(bool),
 }
@@ -51,10 +51,8 @@
 pub enum Reading {
     /// Nothing: its updates come from another node.
     Off,
-    /// All updates.
+    /// All updates, and [`Update::Contact`] with each sign of life of the store.
     On,
-    /// All updates, and [`Update::Contact`] each second: other nodes rely on them.
-    Proven,
 }
 
 /// Sender of what is wanted of the store.
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -193,7 +193,6 @@
             is_current: false,
         });
         self.beat_at = self.beat_at.min(self.clock.now() + BEAT_TIME);
-        self.want(Reading::Proven);
         self.bring_up_to_date();
     }
 
@@ -262,9 +261,6 @@
             .retain(|follower| !follower.frames.is_closed());
         if self.followers.is_empty() {
             self.beat_at = Time::MAX;
-            if self.follow.is_reading() {
-                self.want(Reading::On);
-            }
         } else {
             self.beat_at = now + BEAT_TIME;
         }
