Read the store anew when a node that was followed instead of it is lost

A node that cannot reach the store follows another one, and leaves out what it reads itself meanwhile. When that node was lost before the store was back, the changes that it had left out were not told again: its own watches had moved past them. It served with an older configuration and older leafs until the store counted as regained, which took up to 28 s for a kind without changes.

It now reads everything anew when it leaves the node that it followed, and only then: a node that followed nobody has left out nothing, and reads on when the store is back.

--- a/crates/member/src/follow.rs
+++ b/crates/member/src/follow.rs
@@ -217,11 +217,7 @@
             self.try_node(0, now, out);
             return;
         }
-        // What was read meanwhile may be older than what the other node told: it is read anew.
-        out.push(Step::Disconnect);
-        out.push(Step::StopReading);
-        out.push(Step::StartReading);
-        self.state = State::Alone(self.next_search(now));
+        self.go_alone(now, out);
     }
 
     /// Notes a message of the node that is followed.
@@ -297,6 +293,7 @@
     fn try_node(&mut self, at: usize, now: Time, out: &mut Vec<Step>) {
         match self.nodes().get(at).copied() {
             Some(addr) => {
+                self.leave(out);
                 self.state = State::Trying { at, since: now };
                 out.push(Step::Connect(addr));
             }
@@ -304,7 +301,17 @@
         }
     }
 
+    /// Leaves the node that is followed. What was read meanwhile was not used, and is not told again: it is
+    /// read anew.
+    fn leave(&mut self, out: &mut Vec<Step>) {
+        if self.is_following() && self.is_reading {
+            out.push(Step::StopReading);
+            out.push(Step::StartReading);
+        }
+    }
+
     fn go_alone(&mut self, now: Time, out: &mut Vec<Step>) {
+        self.leave(out);
         self.state = State::Alone(self.next_search(now));
         out.push(Step::Disconnect);
         if !self.is_reading {
--- a/crates/member/tests/follow.rs
+++ b/crates/member/tests/follow.rs
@@ -86,6 +86,8 @@
     now: Time,
     connected: Option<SocketAddr>,
     is_reading: bool,
+    /// Times at which it began to read everything anew.
+    begun: usize,
 }
 
 impl Node {
@@ -96,6 +98,7 @@
             now: Time::from_millis(1_000),
             connected: None,
             is_reading: false,
+            begun: 0,
         };
         node.set_sources(&[1, 2, 3]);
         node
@@ -108,6 +111,7 @@
             now: Time::from_millis(1_000),
             connected: None,
             is_reading: false,
+            begun: 0,
         };
         node.set_sources(&[]);
         node
@@ -133,7 +137,10 @@
         act(&mut self.follow, self.now, &mut out);
         for step in out {
             match step {
-                Step::StartReading => self.is_reading = true,
+                Step::StartReading => {
+                    self.is_reading = true;
+                    self.begun += 1;
+                }
                 Step::StopReading => self.is_reading = false,
                 Step::Connect(addr) => self.connected = Some(addr),
                 Step::Disconnect => self.connected = None,
@@ -257,6 +264,33 @@
     assert!(node.is_reading && !node.follow.is_following());
 }
 
+/// What a node reads while it follows another one is not used. When that one is lost before the store is
+/// back, the node must read everything anew: the changes that it left out are not told again.
+#[test]
+fn ended_while_reading_begins_anew() {
+    let mut node = Node::reader();
+    node.set_contact(false);
+    node.hear();
+    let begun = node.begun;
+    node.lose();
+    assert_eq!(node.begun, begun + 1);
+    assert_eq!(node.connected, Some(addr(12)));
+    assert!(node.is_reading);
+}
+
+/// A node that followed nobody while the store was away has left out nothing.
+#[test]
+fn set_contact_regained_without_a_source_reads_on() {
+    let mut node = Node::reader();
+    let begun = node.begun;
+    node.set_contact(false);
+    node.lose();
+    node.set_contact(true);
+    assert_eq!(node.begun, begun);
+    assert_eq!(node.connected, None);
+    assert!(node.is_reading);
+}
+
 /// While nobody has contact, the search goes on at intervals.
 #[test]
 fn set_contact_lost_by_all_searches_on() {
