Move types that all parts of the engine use into modules of their own

Keys of objects in the store, settings, and the timers and events between the parts stood in control, engine and entry, so that a part imported the engine for a type. They stand in objects, settings and event now, which import no part.

Components of imports before: message, counts, io, timers, and one circle of 11 modules (control dump engine entry holder home links orders placement roles shift).

--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -14,51 +14,18 @@
 use monsoondeal_moves::MoveRecord;
 use monsoondeal_route::Plan;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 
-use crate::engine::{Engine, Timer};
+use crate::engine::Engine;
+use crate::event::Timer;
 use crate::io::{LinkId, Object, Output};
 use crate::links::Peer;
 use crate::message::{Message, State, StoredMap, StoredMove, Versions};
+use crate::objects::{MOVE_PREFIX, TREE_KEY, VMS_KEY, VmList, roster_key};
 
 /// A pause of the whole process longer than this makes requests that waited meanwhile suspect.
 const PAUSE_LIMIT: Duration = Duration::from_secs(5);
 /// How long after such a pause requests count as having waited.
 const PAUSE_SHADOW: Duration = Duration::from_secs(2);
-/// Key of the tree in the store.
-pub const TREE_KEY: &str = "tree";
-
-/// Key of the platform's list of VMs in the store.
-pub const VMS_KEY: &str = "vms";
-
-/// `VmList` is the platform's list of VMs, by name. It lags.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VmList {
-    /// VMs that run.
-    pub live: BTreeSet<String>,
-    /// VMs that are about to end.
-    #[serde(default)]
-    pub leaving: BTreeSet<String>,
-}
-
-/// Returns the key of a cell's roster in the store.
-pub fn roster_key(cell: &str) -> String {
-    format!("roster/{cell}")
-}
-
-/// Returns the key of a service's partition map in the store.
-pub fn map_key(service: &str) -> String {
-    format!("map/{service}")
-}
-
-/// Prefix of the keys of version moves in the store.
-const MOVE_PREFIX: &str = "move/";
-
-/// Returns the key of a service's version move in the store.
-pub fn move_key(service: &str) -> String {
-    format!("{MOVE_PREFIX}{service}")
-}
-
 /// A partition map and the plan made from it.
 #[derive(Clone, Debug)]
 pub(crate) struct MapState {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,84 +3,24 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-use monsoondeal_core::{CallId, FixedMap, LeafId, Time};
-use monsoondeal_limit::OnceSettings;
-use monsoondeal_member::{Cell, CellSettings, Member};
-use monsoondeal_moves::WallClock;
-use monsoondeal_route::{QuerySettings, ReplicaSettings};
+use monsoondeal_core::{FixedMap, Time};
+use monsoondeal_member::Cell;
 
 use crate::control::{Config, Control};
 use crate::counts::Counts;
-use crate::entry::{Entry, QueryId};
+use crate::entry::Entry;
+use crate::event::{Local, Origin, Timer};
 use crate::holder::Holder;
 use crate::home::Home;
 use crate::io::{Input, LinkId, Output};
 use crate::links::{Link, Peer};
-use crate::message::{Call, CallEnd, Message, Order, OrderEnd};
+use crate::message::Message;
 use crate::placement::Seats;
 use crate::roles::Roles;
+use crate::settings::EngineSettings;
 use crate::shift::Moving;
 use crate::timers::Timers;
 
-/// `EngineSettings` configure an engine.
-#[derive(Clone, Debug)]
-pub struct EngineSettings {
-    /// Name of the cell.
-    pub cell: String,
-    /// This node.
-    pub me: Member,
-    /// Peers to ask for the configuration until a roster is known.
-    pub seeds: Vec<SocketAddr>,
-    /// Spans of membership.
-    pub spans: CellSettings,
-    /// Bounds of the tables of idempotency keys.
-    pub once: OnceSettings,
-    /// Choice between replicas.
-    pub replicas: ReplicaSettings,
-    /// Bounds of queries; the deadline comes from the request kind.
-    pub query: QuerySettings,
-    /// Most requests of callers under way.
-    pub inflight: usize,
-    /// Unix time, for the set times of version moves.
-    pub wall: WallClock,
-    /// Seed of random choices.
-    pub seed: u64,
-}
-
-/// Key of a timer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) enum Timer {
-    /// Time for heartbeats.
-    Beat,
-    /// Time to look at membership and roles.
-    Control,
-    /// A query has something to do.
-    Query(QueryId),
-    /// A gate has something to do.
-    Gate(LeafId),
-    /// An order is tried again or given up.
-    Order(CallId),
-}
-
-/// Where a call or an order comes from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) enum Origin {
-    /// From this node.
-    Local,
-    /// From the peer behind a connection.
-    Link(LinkId),
-}
-
-/// Something that one part of the engine asks of another.
-#[derive(Debug)]
-pub(crate) enum Local {
-    Call(Box<Call>),
-    Cancel(CallId),
-    CallEnd(CallId, CallEnd),
-    Order(Box<Order>),
-    OrderEnd(CallId, OrderEnd),
-}
-
 /// `Engine` is one node of the query tier.
 #[derive(Debug)]
 pub struct Engine {
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -11,11 +11,13 @@
     Action, Answer, Env, HedgeDelay, Loss, Plan, Query, QuerySettings, Replicas, Reply,
 };
 
-use crate::engine::{Engine, EngineSettings, Local, Timer};
+use crate::engine::Engine;
+use crate::event::{Local, QueryId, Target, Timer};
 use crate::home::HomeJob;
 use crate::io::{Fault, Output, Request, Response, Token};
 use crate::message::{Call, CallEnd, Message};
 use crate::orders::Pending;
+use crate::settings::EngineSettings;
 use crate::shift::Version;
 
 /// Retries allowed per regular call, after ends that may have run.
@@ -27,9 +29,6 @@
 /// Longest request body, in bytes.
 pub const BODY_LIMIT: usize = 64 * 1024;
 
-/// Identity of a query within the node.
-pub(crate) type QueryId = u64;
-
 /// What a query is run for.
 #[derive(Debug)]
 pub(crate) enum Purpose {
@@ -51,13 +50,6 @@
     body: Bytes,
 }
 
-/// Where a call or an order was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Target {
-    Local,
-    Peer(SocketAddr),
-}
-
 /// What a caller waits for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Work {
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -8,7 +8,8 @@
 use monsoondeal_limit::{Cancelled, Decision, Gate, GateSettings, Offer, Verdict};
 use monsoondeal_member::Lease;
 
-use crate::engine::{Engine, Local, Origin, Timer};
+use crate::engine::Engine;
+use crate::event::{Local, Origin, Timer};
 use crate::io::{LeafCall, LeafEnd, Output, Ticket};
 use crate::message::{Call, CallEnd, Message};
 
--- a/crates/engine/src/home.rs
+++ b/crates/engine/src/home.rs
@@ -15,8 +15,9 @@
 use monsoondeal_route::Loss;
 use monsoondeal_route::{Answer, Plan, QuerySettings, slot_of};
 
-use crate::engine::{Engine, Local, Origin};
+use crate::engine::Engine;
 use crate::entry::Purpose;
+use crate::event::{Local, Origin};
 use crate::holder::MESSAGE_AGE_LIMIT;
 use crate::io::{Output, Request, Token};
 use crate::message::{Keys, Message, Order, OrderAnswer, OrderEnd};
--- a/crates/engine/src/orders.rs
+++ b/crates/engine/src/orders.rs
@@ -5,8 +5,9 @@
 
 use monsoondeal_core::{CallId, Doubt, Refusal, Time};
 
-use crate::engine::{Engine, Local, Timer};
-use crate::entry::{Target, Work};
+use crate::engine::Engine;
+use crate::entry::Work;
+use crate::event::{Local, Target, Timer};
 use crate::io::{Output, Request, Response, Token};
 use crate::message::{Message, Order, OrderEnd};
 
--- a/crates/engine/src/roles.rs
+++ b/crates/engine/src/roles.rs
@@ -12,9 +12,9 @@
 use monsoondeal_core::{Epoch, NodeId, Time};
 use monsoondeal_member::Roster;
 
-use crate::control::{TREE_KEY, VMS_KEY, map_key, move_key, roster_key};
 use crate::engine::Engine;
 use crate::io::Output;
+use crate::objects::{TREE_KEY, VMS_KEY, map_key, move_key, roster_key};
 
 /// Nodes of a cell that watch the store.
 const WATCHERS: usize = 2;
--- a/crates/engine/src/shift.rs
+++ b/crates/engine/src/shift.rs
@@ -13,11 +13,12 @@
 };
 use monsoondeal_route::{Answer, ResponseQuantile};
 
-use crate::control::move_key;
 use crate::dump::MoveDump;
-use crate::engine::{Engine, Origin};
+use crate::engine::Engine;
+use crate::event::Origin;
 use crate::io::Output;
 use crate::message::{Message, MoveReport, StoredMove};
+use crate::objects::move_key;
 
 /// Share of the old version's requests that count as slow.
 const SLOW_SHARE: f64 = 0.25;
