--- /dev/null
+++ b/crates/engine/src/callers.rs
@@ -0,0 +1,98 @@
+//! Callers that wait, and the admission of their requests.
+
+use bytes::Bytes;
+use monsoondeal_core::{Doubt, FixedMap, Priority, Refusal, Time};
+use monsoondeal_limit::Admission;
+use monsoondeal_route::{Answer, Loss};
+
+use crate::context::Context;
+use crate::event::QueryId;
+use crate::io::{Output, Response, Token};
+
+/// What a caller waits for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Work {
+    Query(QueryId),
+    Order,
+}
+
+/// Callers that wait for a response.
+#[derive(Debug, Default)]
+pub(crate) struct Callers {
+    pub(crate) work: FixedMap<Token, Work>,
+    /// Admission by service.
+    admission: FixedMap<String, Admission>,
+}
+
+impl Callers {
+    /// Returns the reason to refuse a request of that priority, if the node or the service is too
+    /// busy for it. `limit` is the most requests under way.
+    pub(crate) fn admission(
+        &mut self,
+        limit: usize,
+        service: &str,
+        priority: Priority,
+    ) -> Option<Refusal> {
+        let share = match priority {
+            Priority::First => limit,
+            Priority::Normal => limit * 4 / 5,
+            Priority::Bulk => limit / 2,
+        };
+        if self.work.len() >= share.max(1) {
+            return Some(Refusal::Overload);
+        }
+        let admission = self.admission.get_mut(service)?;
+        (!admission.admit(priority)).then_some(Refusal::Overload)
+    }
+
+    /// Notes for the admission whether a query lost a group to overload.
+    pub(crate) fn note_load(
+        &mut self,
+        service: &str,
+        priority: Priority,
+        answer: &Answer<Bytes>,
+        now: Time,
+    ) {
+        let overloaded = answer.lost.iter().any(|(_, loss)| is_overload(loss));
+        let admission = self.admission.get_mut(service);
+        let admission = match admission {
+            Some(admission) => admission,
+            None if overloaded => self.admission.entry(service.to_owned()).or_default(),
+            None => return,
+        };
+        admission.note(priority, overloaded, now - answer.elapsed, now);
+    }
+
+    /// Responds to a caller, and counts how its request has ended.
+    pub(crate) fn respond(
+        &mut self,
+        cx: &mut Context,
+        token: Token,
+        response: Response,
+        out: &mut Vec<Output>,
+    ) {
+        self.work.remove(&token);
+        match &response {
+            Response::Answered(answer) => {
+                cx.counts.answered += 1;
+                cx.counts.full += u64::from(answer.coverage.is_full());
+            }
+            Response::NotRun(_) => cx.counts.not_run += 1,
+            Response::Unknown(_) => cx.counts.unknown += 1,
+            Response::Fault(_) => cx.counts.faults += 1,
+        }
+        out.push(Output::Respond(token, response));
+    }
+}
+
+/// Returns whether a group was lost since leafs could not serve it in time.
+fn is_overload(loss: &Loss) -> bool {
+    match loss {
+        Loss::NotRun(reason) => {
+            matches!(reason, Refusal::Overload | Refusal::Cold | Refusal::Expired)
+        }
+        Loss::Unknown(doubt) => *doubt == Doubt::Timeout,
+        Loss::Deadline => true,
+        Loss::NoLeaf => false,
+    }
+}
--- /dev/null
+++ b/crates/engine/src/context.rs
@@ -0,0 +1,150 @@
+//! What all parts of an engine share, and the questions to it.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use monsoondeal_core::{CallId, FixedMap, LeafId, NodeId, Time};
+use monsoondeal_member::{Cell, Lease};
+
+use crate::config::Config;
+use crate::counts::Counts;
+use crate::event::{Local, Origin, Timer};
+use crate::io::{LinkId, Output};
+use crate::links::{Link, Peer};
+use crate::message::Versions;
+use crate::moving::Moving;
+use crate::placement::{Seats, key_seat, place_of};
+use crate::settings::EngineSettings;
+use crate::timers::Timers;
+
+/// A call with an idempotency key that was sent longer ago than this is not run: a copy of it may
+/// have left the memory of its home.
+pub(crate) const MESSAGE_AGE_LIMIT: Duration = Duration::from_secs(10);
+
+/// State that all parts of an engine share.
+#[derive(Debug)]
+pub(crate) struct Context {
+    pub(crate) settings: EngineSettings,
+    pub(crate) cell: Cell,
+    pub(crate) config: Config,
+    pub(crate) seats: Seats,
+    /// Version moves by service.
+    pub(crate) moves: BTreeMap<String, Moving>,
+    /// Peers that this node connects to.
+    pub(crate) peers: FixedMap<SocketAddr, Peer>,
+    pub(crate) links: FixedMap<LinkId, Link>,
+    pub(crate) timers: Timers<Timer>,
+    /// Events between parts. Invariant: empty between two inputs.
+    pub(crate) local: VecDeque<Local>,
+    pub(crate) counts: Counts,
+    /// Identity of the next call, order or query.
+    pub(crate) next_id: CallId,
+}
+
+impl Context {
+    /// Creates the context of a node that knows nothing yet.
+    pub(crate) fn new(settings: EngineSettings) -> Self {
+        Self {
+            cell: Cell::new(settings.spans, settings.me.clone()),
+            settings,
+            config: Config::default(),
+            seats: Seats::default(),
+            moves: BTreeMap::new(),
+            peers: FixedMap::default(),
+            links: FixedMap::default(),
+            timers: Timers::default(),
+            local: VecDeque::new(),
+            counts: Counts::default(),
+            next_id: CallId(0),
+        }
+    }
+
+    /// Takes the identity of the next call, order or query.
+    pub(crate) fn take_id(&mut self) -> CallId {
+        let id = self.next_id;
+        self.next_id.0 += 1;
+        id
+    }
+
+    /// Asks for an object of the store.
+    pub(crate) fn read(&mut self, key: String, out: &mut Vec<Output>) {
+        self.counts.store_calls += 1;
+        out.push(Output::Read(key));
+    }
+
+    /// Returns what this node knows.
+    pub(crate) fn versions(&self) -> Versions {
+        let roster = self.cell.roster();
+        Versions {
+            tree: self
+                .config
+                .tree
+                .as_ref()
+                .map(|t| t.version)
+                .unwrap_or_default(),
+            epoch: roster.epoch,
+            settled: roster.previous.is_none(),
+            maps: self.config.maps.values().map(|m| m.revision).sum::<u64>()
+                + self.moves.values().map(|m| m.revision).sum::<u64>(),
+        }
+    }
+
+    /// Returns the address of a member.
+    pub(crate) fn addr_of(&self, node: NodeId) -> Option<SocketAddr> {
+        self.cell.roster().member(node).map(|m| m.peer)
+    }
+
+    /// Returns the address of a member that is connected and has been heard of late.
+    pub(crate) fn reachable(&self, node: NodeId, now: Time) -> Option<SocketAddr> {
+        let addr = self.addr_of(node)?;
+        let up = self.peers.get(&addr).is_some_and(|peer| peer.up);
+        (up && self.cell.is_alive(node, now)).then_some(addr)
+    }
+
+    /// Returns the peers whose connection is up.
+    pub(crate) fn peers_up(&self) -> Vec<SocketAddr> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.up)
+            .map(|(addr, _)| *addr)
+            .collect()
+    }
+
+    /// Returns the node that opened a connection.
+    pub(crate) fn link_node(&self, link: LinkId) -> Option<NodeId> {
+        self.links.get(&link).and_then(|l| l.node)
+    }
+
+    /// Returns whether this node may act on the leaf now.
+    pub(crate) fn holds(&self, leaf: LeafId, now: Time) -> bool {
+        let me = self.settings.me.node;
+        self.seats.leafs.holder(leaf) == Some(me)
+            && self.cell.lease(self.seats.leafs_before.holder(leaf), now) == Lease::Held
+    }
+
+    /// Returns whether this node may act as the home of a place of keys now.
+    pub(crate) fn holds_place(&self, place: u32, now: Time) -> bool {
+        let seat = key_seat(place).leaf;
+        self.seats.keys.holder(seat) == Some(self.settings.me.node)
+            && self.cell.lease(self.seats.keys_before.holder(seat), now) == Lease::Held
+    }
+
+    /// Returns the home of a key.
+    pub(crate) fn home_of(&self, service: &str, key: &str) -> Option<NodeId> {
+        self.seats
+            .keys
+            .holder(key_seat(place_of(service, key)).leaf)
+    }
+
+    /// Returns how long a message took to be handled.
+    pub(crate) fn message_age(&self, from: Origin, sent: u64, now: Time) -> Duration {
+        match from {
+            Origin::Local => now.since(Time::from_micros(sent)),
+            Origin::Link(link) => self
+                .links
+                .get(&link)
+                .map_or(Duration::ZERO, |link| link.age(sent, now)),
+        }
+    }
+}
--- a/crates/engine/src/dump.rs
+++ b/crates/engine/src/dump.rs
@@ -9,6 +9,7 @@
 use crate::counts::Counts;
 use crate::engine::Engine;
 use crate::message::Versions;
+use crate::moving::Moving;
 
 /// State of a node at one time.
 #[derive(Debug, Serialize)]
@@ -74,19 +75,20 @@
 
 /// A version move as a node sees it.
 #[derive(Debug, Serialize)]
-pub(crate) struct MoveDump {
-    pub(crate) service: String,
-    pub(crate) progress: Progress,
+struct MoveDump {
+    service: String,
+    progress: Progress,
     /// Whether the new version is stopped at this node.
-    pub(crate) stopped: bool,
+    stopped: bool,
     /// Whether this node conducts the move.
-    pub(crate) conducts: bool,
+    conducts: bool,
 }
 
 impl Engine {
     /// Returns the state as JSON.
     pub fn dump(&self, now: Time) -> serde_json::Value {
         let mut peers: Vec<PeerDump> = self
+            .cx
             .peers
             .iter()
             .map(|(addr, peer)| PeerDump {
@@ -96,29 +98,34 @@
             .collect();
         peers.sort_by_key(|p| p.addr);
         let dump = Dump {
-            node: self.settings.me.node.0,
-            cell: &self.settings.cell,
-            domain: &self.settings.me.domain,
+            node: self.cx.settings.me.node.0,
+            cell: &self.cx.settings.cell,
+            domain: &self.cx.settings.me.domain,
             ready: self.is_ready(now),
-            confirmed: self.cell.is_confirmed(now),
-            stopping: self.control.stopping,
-            versions: self.versions().into(),
-            roster: self.cell.roster(),
+            confirmed: self.cx.cell.is_confirmed(now),
+            stopping: self.stopping,
+            versions: self.cx.versions().into(),
+            roster: self.cx.cell.roster(),
             peers,
             leafs: self.leaf_dumps(now),
             moves: self.move_dumps(),
-            queries: self.entry.query_count(),
-            orders: self.entry.order_count(),
+            queries: self.queries.count(),
+            orders: self.orders.count(),
             keys: self.home.key_count(),
-            faults: &self.control.faults,
-            counts: self.counts,
+            faults: &self.feed.faults,
+            counts: self.cx.counts,
         };
         serde_json::to_value(&dump).unwrap_or_default()
     }
 
-    /// Returns the version of the tree in force, for reports on changes.
-    pub fn tree_version(&self) -> u64 {
-        self.versions().tree.0
+    fn move_dumps(&self) -> Vec<MoveDump> {
+        let dump = |(service, moving): (&String, &Moving)| MoveDump {
+            service: service.clone(),
+            progress: moving.record.progress.clone(),
+            stopped: moving.guard.is_stopped(),
+            conducts: moving.conduct.is_some(),
+        };
+        self.cx.moves.iter().map(dump).collect()
     }
 
     fn leaf_dumps(&self, now: Time) -> Vec<LeafDump> {
@@ -126,7 +133,7 @@
         let mut leafs: Vec<LeafDump> = gates
             .map(|(leaf, gate)| LeafDump {
                 leaf: leaf.0,
-                held: self.holds(leaf, now),
+                held: self.cx.holds(leaf, now),
                 cold: gate.is_cold(),
                 running: gate.running(),
                 waiting: gate.waiting(),
--- /dev/null
+++ b/crates/engine/src/members.rs
@@ -0,0 +1,154 @@
+//! Membership of the cell: connections to its members, what a change of the roster moves, and planned
+//! stops.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use monsoondeal_core::{Epoch, Time};
+
+use crate::engine::Engine;
+use crate::event::Timer;
+use crate::io::Output;
+use crate::links::Peer;
+use crate::transfers::Transfer;
+
+impl Engine {
+    pub(crate) fn on_peer_up(&mut self, addr: SocketAddr, now: Time, out: &mut Vec<Output>) {
+        self.cx.peers.insert(
+            addr,
+            Peer {
+                up: true,
+                heard: Some(now),
+            },
+        );
+        self.cx.send_beat(addr, now, out);
+        self.transfers.send_waiting(&mut self.cx, addr, out);
+    }
+
+    pub(crate) fn on_peer_down(&mut self, addr: SocketAddr, now: Time, out: &mut Vec<Output>) {
+        if let Some(peer) = self.cx.peers.get_mut(&addr) {
+            peer.up = false;
+        }
+        self.lose_peer(addr, now, out);
+    }
+
+    /// Looks at membership: whom to connect to, what to watch and whether to write a roster.
+    pub(crate) fn on_control_timer(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.cx
+            .timers
+            .set(Timer::Control, now + self.cx.cell.settings().heartbeat / 2);
+        self.cx.config.purge_retired(now);
+        self.queries.purge_replicas(&self.cx.config);
+        self.cx.cell.refresh(now);
+        self.update_peers(now, out);
+        self.roles.update_roles(&mut self.cx, now, out);
+        self.cx.update_moves(now, out);
+    }
+
+    /// Hands over what other nodes hold now, and prepares for what this node has gained.
+    pub(crate) fn move_seats(&mut self, now: Time, out: &mut Vec<Output>) {
+        for (addr, leafs) in self.holder.retire_gates(&mut self.cx, out) {
+            let transfer = Transfer::Warm(leafs);
+            self.transfers
+                .send_when_up(&mut self.cx, addr, transfer, out);
+        }
+        for (addr, keys) in self.home.move_keys(&self.cx, now) {
+            let transfer = Transfer::Keys(Box::new(keys));
+            self.transfers
+                .send_when_up(&mut self.cx, addr, transfer, out);
+        }
+        for (epoch, transfer) in self.transfers.begin(self.cx.cell.roster().epoch) {
+            self.on_transfer(epoch, transfer, now);
+        }
+    }
+
+    /// Takes over what a former holder or home knew, in the epoch that causes it.
+    pub(crate) fn on_transfer(&mut self, epoch: Epoch, transfer: Transfer, now: Time) {
+        match self.transfers.admit(epoch, transfer) {
+            Some(Transfer::Keys(keys)) => self.home.take_over(*keys, now),
+            Some(Transfer::Warm(leafs)) => self.holder.on_warm(&self.cx, leafs),
+            None => {}
+        }
+    }
+
+    /// Connects to the members of the cell, and gives up the others.
+    pub(crate) fn update_peers(&mut self, now: Time, out: &mut Vec<Output>) {
+        let me = &self.cx.settings.me;
+        let roster = self.cx.cell.roster();
+        let members = roster
+            .members
+            .iter()
+            .filter(|m| m.node != me.node)
+            .map(|m| m.peer);
+        let mut wanted: BTreeSet<SocketAddr> = members.collect();
+        if !roster.contains(me.node) {
+            wanted.extend(self.cx.settings.seeds.iter().filter(|a| **a != me.peer));
+        }
+        // A node that has left the roster still ends the calls it has, and is asked whether it has
+        // drained.
+        let silence = self.cx.cell.settings().silence;
+        let lives = |peer: &Peer| peer.up && peer.heard.is_some_and(|at| now < at + silence);
+        wanted.extend(
+            self.cx
+                .peers
+                .iter()
+                .filter(|(_, peer)| lives(peer))
+                .map(|(addr, _)| *addr),
+        );
+
+        if wanted.len() == self.cx.peers.len()
+            && wanted.iter().all(|a| self.cx.peers.contains_key(a))
+        {
+            return;
+        }
+        let gone: Vec<SocketAddr> = self
+            .cx
+            .peers
+            .keys()
+            .filter(|addr| !wanted.contains(addr))
+            .copied()
+            .collect();
+        for addr in gone {
+            self.cx.peers.remove(&addr);
+            self.lose_peer(addr, now, out);
+        }
+        for addr in &wanted {
+            self.cx.peers.entry(*addr).or_default();
+        }
+        out.push(Output::Peers(wanted.into_iter().collect()));
+    }
+
+    pub(crate) fn on_stop(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.stopping = true;
+        self.cx.cell.leave();
+        self.cx.announce(out);
+        self.cx.timers.set(Timer::Control, now);
+    }
+
+    /// Reports that no call is under way on a lost leaf, once that is so.
+    pub(crate) fn check_drained(&mut self, out: &mut Vec<Output>) {
+        let epoch = self.cx.cell.roster().epoch;
+        if self.cx.cell.heartbeat().drained < epoch && !self.holder.has_lost_calls(&self.cx) {
+            self.cx.cell.set_drained();
+            self.cx.announce(out);
+        }
+    }
+
+    /// Reports that a planned stop is done: out of the roster, its leases ended, nothing under way.
+    pub(crate) fn check_stopped(&mut self, out: &mut Vec<Output>) {
+        if !self.stopping || self.stopped {
+            return;
+        }
+        let roster = self.cx.cell.roster();
+        let me = self.cx.settings.me.node;
+        let is_out = !roster.contains(me) && roster.previous.is_none();
+        if (is_out || roster.members.is_empty()) && self.is_idle() {
+            self.stopped = true;
+            out.push(Output::Stopped);
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.queries.is_empty() && self.orders.is_empty() && self.holder.is_idle()
+    }
+}
--- a/crates/engine/src/orders.rs
+++ b/crates/engine/src/orders.rs
@@ -3,42 +3,75 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use monsoondeal_core::{CallId, Doubt, Refusal, Time};
+use bytes::Bytes;
+use monsoondeal_core::{CallId, Coverage, Doubt, FixedMap, Refusal, Time};
+use monsoondeal_route::Answer;
 
-use crate::engine::Engine;
-use crate::entry::Work;
+use crate::context::Context;
 use crate::event::{Local, Target, Timer};
 use crate::io::{Output, Request, Response, Token};
-use crate::message::{Message, Order, OrderEnd};
+use crate::message::{Message, Order, OrderAnswer, OrderEnd};
 
 /// Wait before an order is offered to its home again.
 const ORDER_BACKOFF: Duration = Duration::from_millis(20);
 
 /// An order that waits for its home.
 #[derive(Debug)]
-pub(crate) struct Pending {
+struct Pending {
     token: Token,
     order: Order,
     deadline: Time,
     /// Where it is, or `None` between two tries.
-    pub(crate) target: Option<Target>,
+    target: Option<Target>,
 }
 
-impl Engine {
-    pub(crate) fn start_order(
+/// The end of an order.
+#[derive(Debug)]
+pub(crate) struct OrderDone {
+    pub(crate) token: Token,
+    pub(crate) response: Response,
+}
+
+/// Orders under way.
+#[derive(Debug, Default)]
+pub(crate) struct Orders {
+    orders: FixedMap<CallId, Pending>,
+}
+
+impl Orders {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.orders.is_empty()
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.orders.len()
+    }
+
+    pub(crate) fn was_sent_to(&self, call: CallId, addr: SocketAddr) -> bool {
+        let target = self.orders.get(&call).and_then(|p| p.target);
+        target == Some(Target::Peer(addr))
+    }
+
+    /// Returns the orders that are under way at a peer.
+    pub(crate) fn sent_to(&self, addr: SocketAddr) -> Vec<CallId> {
+        let orders = self.orders.iter();
+        orders
+            .filter(|(_, pending)| pending.target == Some(Target::Peer(addr)))
+            .map(|(call, _)| *call)
+            .collect()
+    }
+
+    /// Starts an order. Returns its end if it has ended already.
+    pub(crate) fn start(
         &mut self,
+        cx: &mut Context,
         request: Request,
         deadline: Time,
         refuse: Option<Refusal>,
         now: Time,
         out: &mut Vec<Output>,
-    ) {
-        // A request that waited out a pause of this process may be a copy that is older than the
-        // home remembers.
-        if now < self.control.suspect_until {
-            return self.respond(request.token, Response::Unknown(Doubt::EarlierRun), out);
-        }
-        let call = self.take_id();
+    ) -> Option<OrderDone> {
+        let call = cx.take_id();
         let order = Order {
             call,
             service: request.service,
@@ -50,22 +83,25 @@
             refuse,
             body: request.body,
         };
-        self.entry.work.insert(request.token, Work::Order);
         let pending = Pending {
             token: request.token,
             order,
             deadline,
             target: None,
         };
-        self.entry.orders.insert(call, pending);
-        self.on_order_timer(call, now, out);
+        self.orders.insert(call, pending);
+        self.on_timer(cx, call, now, out)
     }
 
     /// Offers an order to its home, or gives it up at its deadline.
-    pub(crate) fn on_order_timer(&mut self, call: CallId, now: Time, out: &mut Vec<Output>) {
-        let Some(pending) = self.entry.orders.get_mut(&call) else {
-            return;
-        };
+    pub(crate) fn on_timer(
+        &mut self,
+        cx: &mut Context,
+        call: CallId,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) -> Option<OrderDone> {
+        let pending = self.orders.get_mut(&call)?;
         if now >= pending.deadline {
             let sent = pending.target.is_some();
             let doubt = if sent {
@@ -73,82 +109,94 @@
             } else {
                 Doubt::KeysUnreachable
             };
-            return self.end_order(call, Response::Unknown(doubt), out);
+            return self.end(cx, call, Response::Unknown(doubt));
         }
         if pending.target.is_some() {
-            return;
+            return None;
         }
         let mut order = pending.order.clone();
         order.budget = pending.deadline.since(now).as_micros() as u64;
         order.sent = now.as_micros();
         let deadline = pending.deadline;
 
-        let home = self.home_of(&order.service, &order.key);
-        if home == Some(self.settings.me.node) {
-            self.set_order_target(call, Some(Target::Local), deadline);
-            self.local.push_back(Local::Order(Box::new(order)));
-            return;
+        let home = cx.home_of(&order.service, &order.key);
+        if home == Some(cx.settings.me.node) {
+            self.set_target(cx, call, Some(Target::Local), deadline);
+            cx.local.push_back(Local::Order(Box::new(order)));
+            return None;
         }
-        match home.and_then(|node| self.reachable(node, now)) {
+        match home.and_then(|node| cx.reachable(node, now)) {
             Some(addr) => {
-                self.set_order_target(call, Some(Target::Peer(addr)), deadline);
+                self.set_target(cx, call, Some(Target::Peer(addr)), deadline);
                 out.push(Output::ToPeer(addr, Message::Order(Box::new(order))));
             }
-            None => self
+            None => cx
                 .timers
                 .set(Timer::Order(call), deadline.min(now + ORDER_BACKOFF)),
         }
+        None
     }
 
-    pub(crate) fn on_order_end(
+    /// Handles what an order's home says. Returns the end of the order, if that is it.
+    pub(crate) fn on_end(
         &mut self,
+        cx: &mut Context,
         call: CallId,
         end: OrderEnd,
         now: Time,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(pending) = self.entry.orders.get_mut(&call) else {
-            return;
-        };
+    ) -> Option<OrderDone> {
+        let pending = self.orders.get_mut(&call)?;
         match end {
             OrderEnd::Answered(answer) => {
-                let answer = answer.into_answer();
-                self.end_order(call, Response::Answered(Box::new(answer)), out);
+                let answer = whole_answer(answer);
+                self.end(cx, call, Response::Answered(Box::new(answer)))
             }
-            OrderEnd::NotRun(reason) => self.end_order(call, Response::NotRun(reason), out),
-            OrderEnd::Unknown(doubt) => self.end_order(call, Response::Unknown(doubt), out),
+            OrderEnd::NotRun(reason) => self.end(cx, call, Response::NotRun(reason)),
+            OrderEnd::Unknown(doubt) => self.end(cx, call, Response::Unknown(doubt)),
             OrderEnd::NotHome => {
                 // Nothing was recorded there; the home may have moved.
                 pending.target = None;
                 let again = pending.deadline.min(now + ORDER_BACKOFF);
-                self.timers.set(Timer::Order(call), again);
+                cx.timers.set(Timer::Order(call), again);
+                None
             }
         }
     }
 
-    /// Ends the orders that were sent to a lost peer: they may have run.
-    pub(crate) fn lose_peer_orders(&mut self, addr: SocketAddr, now: Time, out: &mut Vec<Output>) {
-        let orders = self.entry.orders.iter();
-        let lost: Vec<CallId> = orders
-            .filter(|(_, pending)| pending.target == Some(Target::Peer(addr)))
-            .map(|(call, _)| *call)
-            .collect();
-        for call in lost {
-            self.on_order_end(call, OrderEnd::Unknown(Doubt::NodeLost), now, out);
+    fn set_target(
+        &mut self,
+        cx: &mut Context,
+        call: CallId,
+        target: Option<Target>,
+        deadline: Time,
+    ) {
+        if let Some(pending) = self.orders.get_mut(&call) {
+            pending.target = target;
         }
+        cx.timers.set(Timer::Order(call), deadline);
     }
 
-    fn set_order_target(&mut self, call: CallId, target: Option<Target>, deadline: Time) {
-        if let Some(pending) = self.entry.orders.get_mut(&call) {
-            pending.target = target;
-        }
-        self.timers.set(Timer::Order(call), deadline);
+    fn end(&mut self, cx: &mut Context, call: CallId, response: Response) -> Option<OrderDone> {
+        cx.timers.clear(Timer::Order(call));
+        let token = self.orders.remove(&call)?.token;
+        Some(OrderDone { token, response })
     }
+}
 
-    fn end_order(&mut self, call: CallId, response: Response, out: &mut Vec<Output>) {
-        self.timers.clear(Timer::Order(call));
-        if let Some(pending) = self.entry.orders.remove(&call) {
-            self.respond(pending.token, response, out);
-        }
+/// Returns the answer to the caller from that of the order's home.
+fn whole_answer(answer: OrderAnswer) -> Answer<Bytes> {
+    Answer {
+        snapshot: answer.snapshot,
+        coverage: Coverage {
+            answered: 1,
+            total: 1,
+        },
+        parts: vec![(answer.group, answer.body)],
+        lost: Vec::new(),
+        slowest: None,
+        elapsed: Duration::ZERO,
+        calls: 1,
+        hedges: 0,
+        errors: 0,
     }
 }
--- /dev/null
+++ b/crates/engine/src/queries.rs
@@ -0,0 +1,320 @@
+//! Queries and the calls made for them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use monsoondeal_core::{CallId, FixedMap, LeafId, Priority, Refusal, Time};
+use monsoondeal_limit::Budget;
+use monsoondeal_route::{Action, Env, HedgeDelay, Query, Replicas, Reply};
+
+use crate::config::Config;
+use crate::context::Context;
+use crate::event::{Local, QueryId, Target, Timer};
+use crate::io::Output;
+use crate::job::{Finished, Purpose, QueryStart};
+use crate::message::{Call, CallEnd, Message};
+use crate::settings::EngineSettings;
+
+/// Retries allowed per regular call, after ends that may have run.
+const RETRY_RATIO: f64 = 0.1;
+/// Extra calls that a budget can save up.
+const BUDGET_RESERVE: f64 = 100.0;
+
+/// A query under way, and what its calls carry.
+#[derive(Debug)]
+struct Live {
+    purpose: Purpose,
+    query: Query<Bytes>,
+    budget: Rc<str>,
+    service: String,
+    kind: String,
+    key: Option<String>,
+    priority: Priority,
+    body: Bytes,
+}
+
+impl Live {
+    /// Returns the message that makes a call for the query.
+    fn message(&self, call: CallId, leaf: LeafId, hedge: bool, now: Time) -> Box<Call> {
+        Box::new(Call {
+            call,
+            leaf,
+            snapshot: self.query.snapshot(),
+            priority: self.priority,
+            hedge,
+            budget: self.query.deadline().since(now).as_micros() as u64,
+            sent: now.as_micros(),
+            kind: self.kind.clone(),
+            key: self.key.clone(),
+            body: self.body.clone(),
+        })
+    }
+}
+
+/// Hedging of one request kind.
+#[derive(Debug)]
+struct Hedging {
+    budget: Budget,
+    delay: HedgeDelay,
+}
+
+impl Hedging {
+    fn new(ratio: f64) -> Self {
+        Self {
+            budget: Budget::new(ratio, BUDGET_RESERVE),
+            delay: HedgeDelay::new(ratio),
+        }
+    }
+
+    fn set_ratio(&mut self, ratio: f64) {
+        self.budget.set_ratio(ratio);
+        self.delay.set_ratio(ratio);
+    }
+}
+
+/// Queries under way.
+#[derive(Debug)]
+pub(crate) struct Queries {
+    queries: FixedMap<QueryId, Live>,
+    calls: FixedMap<CallId, (QueryId, Target)>,
+    replicas: Replicas,
+    /// Hedging by service and kind.
+    hedging: FixedMap<Rc<str>, Hedging>,
+    retries: Budget,
+}
+
+impl Queries {
+    pub(crate) fn new(settings: &EngineSettings) -> Self {
+        Self {
+            queries: FixedMap::default(),
+            calls: FixedMap::default(),
+            replicas: Replicas::new(settings.replicas, settings.seed),
+            hedging: FixedMap::default(),
+            retries: Budget::new(RETRY_RATIO, BUDGET_RESERVE),
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.queries.is_empty()
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.queries.len()
+    }
+
+    pub(crate) fn was_sent_to(&self, call: CallId, addr: SocketAddr) -> bool {
+        self.calls
+            .get(&call)
+            .is_some_and(|(_, target)| *target == Target::Peer(addr))
+    }
+
+    /// Returns the calls that are under way at a peer.
+    pub(crate) fn sent_to(&self, addr: SocketAddr) -> Vec<CallId> {
+        self.calls
+            .iter()
+            .filter(|(_, (_, target))| *target == Target::Peer(addr))
+            .map(|(call, _)| *call)
+            .collect()
+    }
+
+    /// Forgets the replicas that are not in the configuration.
+    pub(crate) fn purge_replicas(&mut self, config: &Config) {
+        let known = &config.leafs;
+        self.replicas.retain(|leaf| known.contains_key(&leaf));
+    }
+
+    /// Starts a query. Returns its identity, and its end if it has ended already.
+    pub(crate) fn start(
+        &mut self,
+        cx: &mut Context,
+        start: QueryStart,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) -> (QueryId, Option<Finished>) {
+        let QueryStart {
+            purpose,
+            plan,
+            settings,
+            request,
+            resolved,
+        } = start;
+        let id = cx.take_id().0;
+        let budget: Rc<str> = format!("{}/{}", request.service, request.kind).into();
+        let ratio = resolved.kind.hedge_ratio;
+        let hedging = self.hedging.entry(budget.clone());
+        let hedging = hedging.or_insert_with(|| Hedging::new(ratio));
+        hedging.set_ratio(ratio);
+
+        let mut actions = Vec::new();
+        let mut env = Env {
+            next_call: &mut cx.next_id,
+            replicas: &mut self.replicas,
+            hedges: &mut hedging.budget,
+            delay: &mut hedging.delay,
+            retries: &mut self.retries,
+        };
+        let query = Query::start(plan, settings, now, &mut env, &mut actions);
+        let live = Live {
+            purpose,
+            query,
+            budget,
+            service: request.service,
+            kind: request.kind,
+            key: request.key,
+            priority: resolved.kind.priority,
+            body: request.body,
+        };
+        self.queries.insert(id, live);
+        (id, self.after_step(cx, id, actions, now, out))
+    }
+
+    /// Drops a query that nobody waits for any more.
+    pub(crate) fn abandon(&mut self, cx: &mut Context, id: QueryId, out: &mut Vec<Output>) {
+        cx.timers.clear(Timer::Query(id));
+        self.queries.remove(&id);
+        self.cancel_calls(cx, id, out);
+    }
+
+    pub(crate) fn on_timer(
+        &mut self,
+        cx: &mut Context,
+        id: QueryId,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) -> Option<Finished> {
+        let mut actions = Vec::new();
+        self.with_query(cx, id, |query, env| query.on_tick(now, env, &mut actions));
+        self.after_step(cx, id, actions, now, out)
+    }
+
+    pub(crate) fn on_call_end(
+        &mut self,
+        cx: &mut Context,
+        call: CallId,
+        end: CallEnd,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) -> Option<Finished> {
+        let (id, _) = self.calls.remove(&call)?;
+        let reply = match end {
+            CallEnd::Data(stamp, part) => Reply::Data { stamp, part },
+            CallEnd::NotRun(reason) => Reply::NotRun(reason),
+            CallEnd::Unknown(doubt) => Reply::Unknown(doubt),
+        };
+        let mut actions = Vec::new();
+        self.with_query(cx, id, |query, env| {
+            query.on_reply(call, reply, now, env, &mut actions)
+        });
+        self.after_step(cx, id, actions, now, out)
+    }
+
+    fn with_query<F>(&mut self, cx: &mut Context, id: QueryId, step: F)
+    where
+        F: FnOnce(&mut Query<Bytes>, &mut Env<'_>),
+    {
+        let Some(live) = self.queries.get_mut(&id) else {
+            return;
+        };
+        let Some(hedging) = self.hedging.get_mut(&live.budget) else {
+            return;
+        };
+        let mut env = Env {
+            next_call: &mut cx.next_id,
+            replicas: &mut self.replicas,
+            hedges: &mut hedging.budget,
+            delay: &mut hedging.delay,
+            retries: &mut self.retries,
+        };
+        step(&mut live.query, &mut env);
+    }
+
+    /// Carries out what a query asked for, and ends it if it is done.
+    fn after_step(
+        &mut self,
+        cx: &mut Context,
+        id: QueryId,
+        actions: Vec<Action>,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) -> Option<Finished> {
+        for action in actions {
+            match action {
+                Action::Call {
+                    call, leaf, hedge, ..
+                } => {
+                    if let Some(live) = self.queries.get(&id) {
+                        let message = live.message(call, leaf, hedge, now);
+                        self.send_call(cx, id, message, now, out);
+                    }
+                }
+                Action::Cancel { call, .. } => self.cancel_call(cx, call, out),
+            }
+        }
+        let live = self.queries.get(&id)?;
+        if !live.query.is_done() {
+            cx.timers.set(Timer::Query(id), live.query.next_wake());
+            return None;
+        }
+        cx.timers.clear(Timer::Query(id));
+        let live = self.queries.remove(&id)?;
+        Some(Finished {
+            answer: live.query.into_answer(now),
+            purpose: live.purpose,
+            service: live.service,
+            kind: live.kind,
+            priority: live.priority,
+        })
+    }
+
+    /// Sends a call to the holder of its leaf.
+    fn send_call(
+        &mut self,
+        cx: &mut Context,
+        id: QueryId,
+        message: Box<Call>,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let call = message.call;
+        cx.counts.calls += 1;
+        cx.counts.hedges += u64::from(message.hedge);
+        let holder = cx.seats.leafs.holder(message.leaf);
+        if holder == Some(cx.settings.me.node) {
+            self.calls.insert(call, (id, Target::Local));
+            cx.local.push_back(Local::Call(message));
+            return;
+        }
+        match holder.and_then(|node| cx.reachable(node, now)) {
+            Some(addr) => {
+                self.calls.insert(call, (id, Target::Peer(addr)));
+                out.push(Output::ToPeer(addr, Message::Call(message)));
+            }
+            None => {
+                // Nothing was sent, so the call is proved not run.
+                self.calls.insert(call, (id, Target::Local));
+                let end = CallEnd::NotRun(Refusal::Unreachable);
+                cx.local.push_back(Local::CallEnd(call, end));
+            }
+        }
+    }
+
+    fn cancel_call(&mut self, cx: &mut Context, call: CallId, out: &mut Vec<Output>) {
+        match self.calls.remove(&call) {
+            Some((_, Target::Local)) => cx.local.push_back(Local::Cancel(call)),
+            Some((_, Target::Peer(addr))) => {
+                out.push(Output::ToPeer(addr, Message::Cancel(call)));
+            }
+            None => {}
+        }
+    }
+
+    /// Cancels all calls of a query that is gone.
+    fn cancel_calls(&mut self, cx: &mut Context, id: QueryId, out: &mut Vec<Output>) {
+        let calls = self.calls.iter().filter(|(_, (query, _))| *query == id);
+        let calls: Vec<CallId> = calls.map(|(call, _)| *call).collect();
+        for call in calls {
+            self.cancel_call(cx, call, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/request.rs
@@ -0,0 +1,92 @@
+//! Checks of requests, and the responses to them.
+
+use bytes::Bytes;
+use monsoondeal_config::Resolved;
+use monsoondeal_core::{Doubt, Findings, Refusal};
+use monsoondeal_route::{Answer, Loss};
+
+use crate::config::Config;
+use crate::io::{Fault, Request, Response};
+
+/// Longest idempotency or partition key, in bytes.
+const KEY_LIMIT: usize = 200;
+/// Longest request body, in bytes.
+pub const BODY_LIMIT: usize = 64 * 1024;
+
+/// Returns the settings in force for a request, or why it is refused.
+pub(crate) fn check(request: &Request, cell: &str, config: &Config) -> Result<Resolved, Response> {
+    let Some(tree) = &config.tree else {
+        return Err(unconfigured(request));
+    };
+    let Some(service) = tree.services.get(&request.service) else {
+        let text = format!("no service '{}'", request.service);
+        let findings = Findings::single("request path", text);
+        return Err(Response::Fault(Fault::NoService(findings)));
+    };
+    if service.cell != cell {
+        let text = format!("service is served by cell '{}'", service.cell);
+        let findings = Findings::single("request path", text);
+        return Err(Response::Fault(Fault::OtherCell(findings)));
+    }
+    let Some(resolved) = tree.resolve(&request.service, &request.kind) else {
+        return Err(unconfigured(request));
+    };
+    let mut findings = Findings::default();
+    if !monsoondeal_config::tree::is_name(&request.kind) {
+        let rule = monsoondeal_config::tree::NAME_RULE;
+        let text = format!("request kind must be {rule}");
+        findings.0.extend(Findings::single("request path", text).0);
+    }
+    if request.body.len() > BODY_LIMIT {
+        let text = format!("at most {BODY_LIMIT} bytes are allowed");
+        findings.0.extend(Findings::single("request body", text).0);
+    }
+    for (name, key) in [
+        ("idempotency-key", &request.key),
+        ("partition-key", &request.partition_key),
+    ] {
+        if key
+            .as_deref()
+            .is_some_and(|k| k.is_empty() || k.len() > KEY_LIMIT)
+        {
+            let text = format!("must have 1 to {KEY_LIMIT} bytes");
+            findings.0.extend(Findings::single(name, text).0);
+        }
+    }
+    if !resolved.kind.repeatable && request.key.is_none() {
+        let text = "is required, since this kind is not repeatable";
+        findings
+            .0
+            .extend(Findings::single("idempotency-key", text).0);
+    }
+    findings
+        .or_ok(resolved)
+        .map_err(|f| Response::Fault(Fault::Malformed(f)))
+}
+
+/// Returns the response of a node that does not know yet how to treat a request. This copy of it was
+/// not run, but with an idempotency key another one may have been.
+fn unconfigured(request: &Request) -> Response {
+    match request.key {
+        Some(_) => Response::Unknown(Doubt::KeysUnreachable),
+        None => Response::NotRun(Refusal::Unreachable),
+    }
+}
+
+/// Returns the response for the end of a query: without any part it is no answer.
+pub(crate) fn response(answer: Answer<Bytes>) -> Response {
+    if answer.coverage.answered > 0 || answer.lost.is_empty() {
+        return Response::Answered(Box::new(answer));
+    }
+    for (_, loss) in &answer.lost {
+        match loss {
+            Loss::Unknown(doubt) => return Response::Unknown(*doubt),
+            Loss::Deadline => return Response::Unknown(Doubt::Timeout),
+            Loss::NotRun(_) | Loss::NoLeaf => {}
+        }
+    }
+    match answer.lost.first() {
+        Some((_, Loss::NotRun(reason))) => Response::NotRun(*reason),
+        _ => Response::NotRun(Refusal::Unreachable),
+    }
+}
--- a/crates/engine/src/roles.rs
+++ b/crates/engine/src/roles.rs
@@ -12,7 +12,7 @@
 use monsoondeal_core::{Epoch, NodeId, Time};
 use monsoondeal_member::Roster;
 
-use crate::engine::Engine;
+use crate::context::Context;
 use crate::io::Output;
 use crate::objects::{TREE_KEY, VMS_KEY, map_key, move_key, roster_key};
 
@@ -68,32 +68,32 @@
     }
 }
 
-impl Engine {
+impl Roles {
     /// Notes whether the store has answered.
-    pub(crate) fn note_contact(&mut self, answered: bool, now: Time) {
-        self.roles.contact = answered.then_some(now);
-        self.cell.set_store(answered);
+    pub(crate) fn note_contact(&mut self, cx: &mut Context, answered: bool, now: Time) {
+        self.contact = answered.then_some(now);
+        cx.cell.set_store(answered);
     }
 
-    pub(crate) fn update_roles(&mut self, now: Time, out: &mut Vec<Output>) {
-        let contact = self.roles.contact.is_some_and(|at| now < at + CONTACT_SPAN);
-        self.cell.set_store(contact);
-        let reaching = self.cell.reaching_store(now);
-        self.roles.lost_since = match reaching.is_empty() {
-            true => self.roles.lost_since.or(Some(now)),
+    pub(crate) fn update_roles(&mut self, cx: &mut Context, now: Time, out: &mut Vec<Output>) {
+        let contact = self.contact.is_some_and(|at| now < at + CONTACT_SPAN);
+        cx.cell.set_store(contact);
+        let reaching = cx.cell.reaching_store(now);
+        self.lost_since = match reaching.is_empty() {
+            true => self.lost_since.or(Some(now)),
             false => None,
         };
-        let watches = self.is_watcher(&reaching, now);
-        self.update_watches(watches, out);
-        self.probe(watches, now, out);
-        self.confirm_by_store(now, out);
-        self.propose_roster(&reaching, now, out);
+        let watches = self.is_watcher(cx, &reaching, now);
+        self.update_watches(cx, watches, out);
+        self.probe(cx, watches, now, out);
+        self.confirm_by_store(cx, now, out);
+        self.propose_roster(cx, &reaching, now, out);
     }
 
     /// Returns whether this node should watch the store, given the members that reach it.
-    fn is_watcher(&self, reaching: &[NodeId], now: Time) -> bool {
-        let me = self.settings.me.node;
-        let roster = self.cell.roster();
+    fn is_watcher(&self, cx: &Context, reaching: &[NodeId], now: Time) -> bool {
+        let me = cx.settings.me.node;
+        let roster = cx.cell.roster();
         if !roster.contains(me) {
             return true;
         }
@@ -103,93 +103,95 @@
         let alive = roster
             .members
             .iter()
-            .filter(|m| self.cell.is_alive(m.node, now));
+            .filter(|m| cx.cell.is_alive(m.node, now));
         let rank = alive.filter(|m| m.node < me).count();
         let lost = self
-            .roles
             .lost_since
             .map_or(Duration::ZERO, |since| now.since(since));
         let steps = (lost.as_millis() / PROBE_STEP.as_millis()) as usize;
         rank < (WATCHERS * (1 + steps)).min(PROBERS)
     }
 
-    fn update_watches(&mut self, watches: bool, out: &mut Vec<Output>) {
+    fn update_watches(&mut self, cx: &mut Context, watches: bool, out: &mut Vec<Output>) {
         let mut wanted = BTreeSet::new();
         if watches {
             wanted.insert(TREE_KEY.to_owned());
             wanted.insert(VMS_KEY.to_owned());
-            wanted.insert(roster_key(&self.settings.cell));
-            if let Some(tree) = &self.config.tree {
-                let services = tree.cell_services(&self.settings.cell);
+            wanted.insert(roster_key(&cx.settings.cell));
+            if let Some(tree) = &cx.config.tree {
+                let services = tree.cell_services(&cx.settings.cell);
                 wanted.extend(services.flat_map(|service| [map_key(service), move_key(service)]));
             }
         }
-        if wanted != self.roles.watched {
-            self.roles.watched.clone_from(&wanted);
+        if wanted != self.watched {
+            self.watched.clone_from(&wanted);
             out.push(Output::Watch(wanted.into_iter().collect()));
         }
     }
 
     /// Reads the roster now and then, so that a store out of reach is noticed soon.
-    fn probe(&mut self, watches: bool, now: Time, out: &mut Vec<Output>) {
-        let due = self
-            .roles
-            .last_probe
-            .is_none_or(|at| now >= at + PROBE_PERIOD);
+    fn probe(&mut self, cx: &mut Context, watches: bool, now: Time, out: &mut Vec<Output>) {
+        let due = self.last_probe.is_none_or(|at| now >= at + PROBE_PERIOD);
         if watches && due {
-            self.roles.last_probe = Some(now);
-            self.read(roster_key(&self.settings.cell), out);
+            self.last_probe = Some(now);
+            cx.read(roster_key(&cx.settings.cell), out);
         }
     }
 
     /// Reads the roster where too few peers are heard to confirm the leases of a small cell.
-    fn confirm_by_store(&mut self, now: Time, out: &mut Vec<Output>) {
-        let roster = self.cell.roster();
+    fn confirm_by_store(&mut self, cx: &mut Context, now: Time, out: &mut Vec<Output>) {
+        let roster = cx.cell.roster();
         let small = roster.members.len() <= STORE_CONFIRM_LIMIT;
-        let period = self.cell.settings().heartbeat;
-        let due = self.roles.last_probe.is_none_or(|at| now >= at + period);
-        if small && due && roster.contains(self.settings.me.node) && !self.cell.is_confirmed(now) {
-            self.roles.last_probe = Some(now);
-            self.read(roster_key(&self.settings.cell), out);
+        let period = cx.cell.settings().heartbeat;
+        let due = self.last_probe.is_none_or(|at| now >= at + period);
+        if small && due && roster.contains(cx.settings.me.node) && !cx.cell.is_confirmed(now) {
+            self.last_probe = Some(now);
+            cx.read(roster_key(&cx.settings.cell), out);
         }
     }
 
-    fn propose_roster(&mut self, reaching: &[NodeId], now: Time, out: &mut Vec<Output>) {
-        let me = &self.settings.me;
+    fn propose_roster(
+        &mut self,
+        cx: &mut Context,
+        reaching: &[NodeId],
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let me = &cx.settings.me;
         let rank = reaching.iter().position(|node| *node == me.node);
-        if rank.is_some_and(|rank| rank >= WATCHERS) || self.is_write_pending(now) {
+        if rank.is_some_and(|rank| rank >= WATCHERS) || self.is_write_pending(cx, now) {
             return;
         }
-        let roster = self.cell.roster();
-        let Some(stored) = self.roles.stored else {
+        let roster = cx.cell.roster();
+        let Some(stored) = self.stored else {
             return;
         };
         if (stored.epoch, stored.settled) != (roster.epoch, roster.previous.is_none()) {
             return;
         }
-        let joins = !roster.contains(me.node) && self.cell.may_join(now);
+        let joins = !roster.contains(me.node) && cx.cell.may_join(now);
         let joining = if joins { std::slice::from_ref(me) } else { &[] };
         // A node that is no member, and may not become one, leaves the roster alone.
         if rank.is_none() && !joins {
             return;
         }
-        let seats = self.wanted_seats(now);
-        let Some(next) = self.cell.proposal(joining, &seats, now) else {
-            self.roles.wanted_since = None;
+        let seats = cx.config.wanted_seats(now);
+        let Some(next) = cx.cell.proposal(joining, &seats, now) else {
+            self.wanted_since = None;
             return;
         };
         // Others wait for the first watcher's write before they try themselves.
-        let since = *self.roles.wanted_since.get_or_insert(now);
+        let since = *self.wanted_since.get_or_insert(now);
         if rank != Some(0) && stored.version.is_some() && now < since + TURN_WAIT {
             return;
         }
         let Ok(value) = serde_json::to_vec(&next) else {
             return;
         };
-        self.roles.wanted_since = None;
-        self.roles.writing = Some(now);
-        self.counts.store_calls += 1;
-        let key = roster_key(&self.settings.cell);
+        self.wanted_since = None;
+        self.writing = Some(now);
+        cx.counts.store_calls += 1;
+        let key = roster_key(&cx.settings.cell);
         out.push(Output::Write {
             key,
             expects: stored.version,
@@ -197,8 +199,8 @@
         });
     }
 
-    fn is_write_pending(&self, now: Time) -> bool {
-        let limit = self.cell.settings().silence * 2;
-        self.roles.writing.is_some_and(|at| now < at + limit)
+    fn is_write_pending(&self, cx: &Context, now: Time) -> bool {
+        let limit = cx.cell.settings().silence * 2;
+        self.writing.is_some_and(|at| now < at + limit)
     }
 }
--- /dev/null
+++ b/crates/engine/src/serve.rs
@@ -0,0 +1,183 @@
+//! Requests of callers, from their start to their response.
+
+use std::net::SocketAddr;
+
+use monsoondeal_core::{CallId, Doubt, Refusal, Time};
+use monsoondeal_route::QuerySettings;
+
+use crate::callers::Work;
+use crate::engine::Engine;
+use crate::event::{Origin, QueryId};
+use crate::io::{Output, Request, Response, Token};
+use crate::job::{Finished, Purpose, QueryStart};
+use crate::message::{CallEnd, Order, OrderEnd};
+use crate::orders::OrderDone;
+use crate::request;
+
+impl Engine {
+    pub(crate) fn on_request(&mut self, request: Request, now: Time, out: &mut Vec<Output>) {
+        self.cx.counts.requests += 1;
+        let token = request.token;
+        let resolved = match request::check(&request, &self.cx.settings.cell, &self.cx.config) {
+            Ok(resolved) => resolved,
+            Err(response) => return self.respond(token, response, out),
+        };
+        let kind = resolved.kind;
+        let deadline = now
+            + request
+                .deadline
+                .map_or(kind.deadline, |d| d.min(kind.deadline));
+        let limit = self.cx.settings.inflight;
+        let refuse = self
+            .callers
+            .admission(limit, &request.service, kind.priority);
+        if !kind.repeatable {
+            self.start_order(request, deadline, refuse, now, out);
+            return;
+        }
+        if let Some(reason) = refuse {
+            return self.respond(token, Response::NotRun(reason), out);
+        }
+        let version = self.cx.pick_version(&request.service, now);
+        let Some(plan) = self.cx.config.plan_of(&request.service, version) else {
+            return self.respond(token, Response::NotRun(Refusal::Unreachable), out);
+        };
+        let settings = QuerySettings {
+            deadline,
+            ..self.cx.settings.query
+        };
+        let start = QueryStart {
+            purpose: Purpose::Caller(token, version),
+            plan,
+            settings,
+            request,
+            resolved,
+        };
+        match self.queries.start(&mut self.cx, start, now, out) {
+            (_, Some(finished)) => self.finish_query(finished, now, out),
+            (id, None) => {
+                self.callers.work.insert(token, Work::Query(id));
+            }
+        }
+    }
+
+    /// Handles a caller that no longer waits.
+    pub(crate) fn on_gone(&mut self, token: Token, out: &mut Vec<Output>) {
+        match self.callers.work.remove(&token) {
+            Some(Work::Query(id)) => self.queries.abandon(&mut self.cx, id, out),
+            // An order goes on to its end, which the home remembers for the caller's retry.
+            Some(Work::Order) | None => {}
+        }
+    }
+
+    pub(crate) fn on_query_timer(&mut self, id: QueryId, now: Time, out: &mut Vec<Output>) {
+        if let Some(finished) = self.queries.on_timer(&mut self.cx, id, now, out) {
+            self.finish_query(finished, now, out);
+        }
+    }
+
+    pub(crate) fn on_call_end(
+        &mut self,
+        call: CallId,
+        end: CallEnd,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(finished) = self.queries.on_call_end(&mut self.cx, call, end, now, out) {
+            self.finish_query(finished, now, out);
+        }
+    }
+
+    /// Takes in an order for a key whose home this node may be.
+    pub(crate) fn on_order(
+        &mut self,
+        from: Origin,
+        order: Order,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(start) = self.home.on_order(&mut self.cx, from, order, now, out) else {
+            return;
+        };
+        if let (_, Some(finished)) = self.queries.start(&mut self.cx, start, now, out) {
+            self.finish_query(finished, now, out);
+        }
+    }
+
+    pub(crate) fn on_order_timer(&mut self, call: CallId, now: Time, out: &mut Vec<Output>) {
+        let done = self.orders.on_timer(&mut self.cx, call, now, out);
+        self.finish_order(done, out);
+    }
+
+    pub(crate) fn on_order_end(
+        &mut self,
+        call: CallId,
+        end: OrderEnd,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        let done = self.orders.on_end(&mut self.cx, call, end, now);
+        self.finish_order(done, out);
+    }
+
+    /// Ends the calls and orders that were sent to a lost peer: they may have run.
+    pub(crate) fn lose_peer(&mut self, addr: SocketAddr, now: Time, out: &mut Vec<Output>) {
+        for call in self.queries.sent_to(addr) {
+            self.on_call_end(call, CallEnd::Unknown(Doubt::NodeLost), now, out);
+        }
+        for call in self.orders.sent_to(addr) {
+            self.on_order_end(call, OrderEnd::Unknown(Doubt::NodeLost), now, out);
+        }
+    }
+
+    fn start_order(
+        &mut self,
+        request: Request,
+        deadline: Time,
+        refuse: Option<Refusal>,
+        now: Time,
+        out: &mut Vec<Output>,
+    ) {
+        // A request that waited out a pause of this process may be a copy that is older than the
+        // home remembers.
+        if self.pauses.is_suspect(now) {
+            return self.respond(request.token, Response::Unknown(Doubt::EarlierRun), out);
+        }
+        self.callers.work.insert(request.token, Work::Order);
+        let done = self
+            .orders
+            .start(&mut self.cx, request, deadline, refuse, now, out);
+        self.finish_order(done, out);
+    }
+
+    fn finish_query(&mut self, finished: Finished, now: Time, out: &mut Vec<Output>) {
+        let Finished {
+            purpose,
+            service,
+            kind,
+            priority,
+            answer,
+        } = finished;
+        self.callers.note_load(&service, priority, &answer, now);
+        match purpose {
+            Purpose::Caller(token, version) => {
+                if let Some(version) = version {
+                    self.cx
+                        .note_version(&service, &kind, version, &answer, now, out);
+                }
+                self.respond(token, request::response(answer), out);
+            }
+            Purpose::Home(job) => self.home.finish(&mut self.cx, job, answer, out),
+        }
+    }
+
+    fn finish_order(&mut self, done: Option<OrderDone>, out: &mut Vec<Output>) {
+        if let Some(OrderDone { token, response }) = done {
+            self.respond(token, response, out);
+        }
+    }
+
+    fn respond(&mut self, token: Token, response: Response, out: &mut Vec<Output>) {
+        self.callers.respond(&mut self.cx, token, response, out);
+    }
+}
--- a/crates/engine/src/shift.rs
+++ b/crates/engine/src/shift.rs
@@ -6,93 +6,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use monsoondeal_core::{FixedMap, NodeId, Time};
-use monsoondeal_moves::{
-    Conduct, Evidence, Grant, Guard, MoveRecord, Outcome, Progress, State, VerdictSettings,
-    WallClock,
-};
-use monsoondeal_route::{Answer, ResponseQuantile};
+use monsoondeal_core::{NodeId, Time};
+use monsoondeal_moves::{Evidence, Grant, Outcome, Progress, State};
+use monsoondeal_route::Answer;
 
-use crate::dump::MoveDump;
-use crate::engine::Engine;
+use crate::config::Version;
+use crate::context::Context;
 use crate::event::Origin;
 use crate::io::Output;
 use crate::message::{Message, MoveReport, StoredMove};
+use crate::moving::Moving;
 use crate::objects::move_key;
 
-/// Share of the old version's requests that count as slow.
-const SLOW_SHARE: f64 = 0.25;
 /// Time after which a write of a record is tried again.
 const WRITE_LIMIT: Duration = Duration::from_secs(4);
 
-/// Version that a request goes to during a move.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Version {
-    Old,
-    New,
-}
-
-/// A move of one service as this node knows it.
-#[derive(Debug)]
-pub(crate) struct Moving {
-    pub(crate) revision: u64,
-    pub(crate) record: MoveRecord,
-    guard: Guard,
-    /// Usual response time of the old version by route.
-    usual: FixedMap<String, ResponseQuantile>,
-    /// Present at the node that conducts the move.
-    conduct: Option<Conduct>,
-    /// Since when a write of the record is under way.
-    writing: Option<Time>,
-}
-
-impl Moving {
-    fn new(stored: StoredMove) -> Self {
-        Self {
-            revision: stored.revision,
-            record: stored.record,
-            guard: Guard::new(VerdictSettings::default()),
-            usual: FixedMap::default(),
-            conduct: None,
-            writing: None,
-        }
-    }
-
-    /// Returns the conduct of the move, which goes on from the record.
-    fn conduct(&mut self, wall: WallClock) -> &mut Conduct {
-        let record = &self.record;
-        self.conduct.get_or_insert_with(|| {
-            Conduct::new(
-                record.plan(wall),
-                VerdictSettings::default(),
-                record.state(wall),
-            )
-        })
-    }
-
-    /// Returns whether everything goes to the new version.
-    pub(crate) fn is_done(&self) -> bool {
-        self.record.progress == Progress::Done
-    }
-
-    /// Returns whether an answer is slow for its route, and learns from those of the old version.
-    fn is_slow(&mut self, route: &str, new: bool, elapsed: Duration) -> bool {
-        let usual = match self.usual.get_mut(route) {
-            Some(usual) => usual,
-            None => {
-                let quantile = ResponseQuantile::above(SLOW_SHARE);
-                self.usual.entry(route.to_owned()).or_insert(quantile)
-            }
-        };
-        let slow = usual.value().is_some_and(|usual| elapsed > usual);
-        if !new {
-            usual.note(elapsed);
-        }
-        slow
-    }
-}
-
-impl Engine {
+impl Context {
     /// Returns the version that the next request for a service goes to, or `None` if there is no move
     /// of it.
     pub(crate) fn pick_version(&mut self, service: &str, now: Time) -> Option<Version> {
@@ -226,16 +155,6 @@
         self.conduct_move(service, now, out);
     }
 
-    pub(crate) fn move_dumps(&self) -> Vec<MoveDump> {
-        let dump = |(service, moving): (&String, &Moving)| MoveDump {
-            service: service.clone(),
-            progress: moving.record.progress.clone(),
-            stopped: moving.guard.is_stopped(),
-            conducts: moving.conduct.is_some(),
-        };
-        self.moves.iter().map(dump).collect()
-    }
-
     /// Returns the node that conducts the moves of the cell.
     fn conductor(&self, now: Time) -> Option<NodeId> {
         self.cell.reaching_store(now).first().copied()
