Keep one copy of the guards of waiting and open requests, and of the operators' pages

Open, Waiting and the arms for /metrics and /state stood in both daemons. They are in the node crate now (open, ask, pages), which the gateway uses already.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -6,8 +6,8 @@
 use compio::net::TcpListener;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use monsoondeal_node::ask::ask;
 use monsoondeal_node::http::{self, Body};
+use monsoondeal_node::pages::page;
 
 use crate::event::{Event, EventSender};
 
@@ -35,16 +35,10 @@
 }
 
 async fn handle(request: Request<Incoming>, events: EventSender) -> Response<Body> {
-    match request.uri().path() {
-        "/metrics" => {
-            let text = ask(&events, Event::Metrics).await.unwrap_or_default();
-            http::metrics(text)
-        }
-        "/state" => {
-            let state = ask(&events, Event::Dump).await.unwrap_or_default();
-            http::json(StatusCode::OK, &state)
-        }
-        path => {
+    let path = request.uri().path();
+    match page(path, &events, Event::Metrics, Event::Dump).await {
+        Some(response) => response,
+        None => {
             let text = format!("no page '{path}'; there are /metrics and /state\n");
             http::respond(StatusCode::NOT_FOUND, "text/plain", text.into_bytes())
         }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -22,9 +22,11 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use monsoondeal_edge::{Answer, Limits, Reply, Token};
+use monsoondeal_node::ask::ask_or_leave;
+use monsoondeal_node::open::Open;
 use monsoondeal_node::stream::Stream;
 
-use crate::event::{Event, EventSender, Inbound, send};
+use crate::event::{Event, EventSender, Inbound};
 use crate::leafs::strip_connection_fields;
 use crate::segment;
 use crate::settings::HeaderNames;
@@ -185,22 +187,6 @@
     }
 }
 
-/// Counts a connection as open for as long as it lives.
-struct Open(Rc<Cell<usize>>);
-
-impl Open {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count.clone())
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 async fn serve(stream: TcpStream, state: FrontState, events: EventSender) {
     let _open = Open::new(&state.open);
     if let Err(error) = stream.set_nodelay(true) {
@@ -261,21 +247,6 @@
     }
 }
 
-/// Tells the hub of a caller that goes away before its response.
-struct Waiting<'a> {
-    token: Token,
-    events: &'a EventSender,
-    is_done: bool,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        if !self.is_done {
-            send(self.events, Event::Gone(self.token));
-        }
-    }
-}
-
 async fn handle(
     request: Request<Incoming>,
     is_first: bool,
@@ -315,16 +286,9 @@
 }
 
 async fn ask(inbound: Inbound, events: &EventSender) -> Option<Reply> {
-    let mut waiting = Waiting {
-        token: inbound.token,
-        events,
-        is_done: false,
-    };
-    let (sender, receiver) = oneshot::channel();
-    send(events, Event::Request(Box::new(inbound), sender));
-    let reply = receiver.await.ok();
-    waiting.is_done = true;
-    reply
+    let gone = Event::Gone(inbound.token);
+    let question = |sender| Event::Request(Box::new(inbound), sender);
+    ask_or_leave(events, question, gone).await
 }
 
 /// Reads a whole request, or returns the response to a malformed one.
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -7,6 +7,7 @@
 use crate::ask::ask;
 use crate::event::{Event, EventSender};
 use crate::http::{self, Body};
+use crate::pages::page;
 
 /// Serves operators until the process ends.
 pub(crate) async fn listen(listener: TcpListener, events: EventSender) {
@@ -22,17 +23,12 @@
                 http::respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", body)
             }
         },
-        "/metrics" => {
-            let text = ask(&events, Event::Metrics).await.unwrap_or_default();
-            http::metrics(text)
-        }
-        "/state" => {
-            let state = ask(&events, Event::Dump).await.unwrap_or_default();
-            http::json(StatusCode::OK, &state)
-        }
-        path => {
-            let text = format!("no page '{path}'; there are /ready, /metrics and /state\n");
-            http::respond(StatusCode::NOT_FOUND, "text/plain", text.into_bytes())
-        }
+        path => match page(path, &events, Event::Metrics, Event::Dump).await {
+            Some(response) => response,
+            None => {
+                let text = format!("no page '{path}'; there are /ready, /metrics and /state\n");
+                http::respond(StatusCode::NOT_FOUND, "text/plain", text.into_bytes())
+            }
+        },
     }
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use compio::net::TcpListener;
-use futures_channel::oneshot;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -18,8 +17,10 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 
-use crate::event::{Event, EventSender, send};
+use crate::ask::ask_or_leave;
+use crate::event::{Event, EventSender};
 use crate::http::{self, Body, header};
+use crate::open::Open;
 
 /// Prefix of the request path.
 const PATH_PREFIX: &str = "/v1/";
@@ -42,37 +43,6 @@
     .await;
 }
 
-/// Tells the hub of a caller that goes away before its response.
-struct Waiting<'a> {
-    token: Token,
-    events: &'a EventSender,
-    done: bool,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        if !self.done {
-            send(self.events, Event::Gone(self.token));
-        }
-    }
-}
-
-/// Counts a request as open for as long as it lives.
-struct Open(Rc<Cell<usize>>);
-
-impl Open {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count.clone())
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 async fn handle(
     request: HttpRequest<Incoming>,
     state: CallerState,
@@ -82,7 +52,10 @@
     let token = Token(state.tokens.get());
     state.tokens.set(token.0 + 1);
     let mut response = match read(request, token).await {
-        Ok(request) => render(ask(request, &events).await),
+        Ok(request) => {
+            let question = |sender| Event::Request(request, sender);
+            render(ask_or_leave(&events, question, Event::Gone(token)).await)
+        }
         Err((status, findings)) => http::json(status, &Failure::malformed(&findings)),
     };
     if state.closing.get() {
@@ -94,19 +67,6 @@
     response
 }
 
-async fn ask(request: Request, events: &EventSender) -> Option<Response> {
-    let mut waiting = Waiting {
-        token: request.token,
-        events,
-        done: false,
-    };
-    let (sender, receiver) = oneshot::channel();
-    send(events, Event::Request(request, sender));
-    let response = receiver.await.ok();
-    waiting.done = true;
-    response
-}
-
 async fn read(
     request: HttpRequest<Incoming>,
     token: Token,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,8 @@
 mod leafs;
 mod links;
 pub mod metrics;
+pub mod open;
+pub mod pages;
 mod peers;
 pub mod signals;
 pub mod store;
