--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -67,6 +67,8 @@
     Unsent,
     /// The call may have run, and its answer is lost or unusable.
     Broken,
+    /// The call may have run, and its answer went over the limit.
+    TooLarge,
 }
 
 /// `Send` is a call to a leaf.
--- a/crates/edge/src/edge/outcome.rs
+++ b/crates/edge/src/edge/outcome.rs
@@ -100,6 +100,10 @@
                 shard.arrived = true;
                 "broken"
             }
+            CallEnd::TooLarge => {
+                shard.arrived = true;
+                "too_large"
+            }
         };
         if !shard.open.is_empty() {
             return;
@@ -203,7 +207,9 @@
             }
             CallEnd::Answer(_) => Verdict::Failed,
             CallEnd::Refused => Verdict::Refused,
-            CallEnd::Misdirected | CallEnd::Unsent | CallEnd::Broken => Verdict::Broken,
+            CallEnd::Misdirected | CallEnd::Unsent | CallEnd::Broken | CallEnd::TooLarge => {
+                Verdict::Broken
+            }
         }
     }
 
@@ -211,7 +217,7 @@
     pub(super) fn note_move(&mut self, call: &Call, end: &CallEnd, response: Duration) {
         let failed = match end {
             CallEnd::Answer(answer) => !answer.is_success(),
-            CallEnd::Broken => true,
+            CallEnd::Broken | CallEnd::TooLarge => true,
             CallEnd::Refused | CallEnd::Misdirected | CallEnd::Unsent => return,
         };
         let pace = self.paces.get(&call.route);
@@ -227,7 +233,7 @@
             CallEnd::Answer(_) => {}
             CallEnd::Refused | CallEnd::Misdirected => self.counts.refused += 1,
             CallEnd::Unsent => self.counts.unsent += 1,
-            CallEnd::Broken => self.counts.broken += 1,
+            CallEnd::Broken | CallEnd::TooLarge => self.counts.broken += 1,
         }
     }
 }
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{Node, config, failure, fan_out, good, leaf, shard, single};
-use monsoondeal_edge::{CallEnd, LeafEntry, Repeat, Reply};
+use monsoondeal_edge::{CallEnd, LeafEntry, Note, Repeat, Reply};
 use rstest::rstest;
 
 fn replicas(shards: usize) -> Vec<LeafEntry> {
@@ -158,15 +158,38 @@
 }
 
 /// After a lost answer the request may have run: it is neither repeated nor called "not run".
-#[test]
-fn at_most_once_lost_answer_is_not_repeated() {
+#[rstest]
+#[case::lost(CallEnd::Broken)]
+#[case::too_large(CallEnd::TooLarge)]
+fn at_most_once_lost_answer_is_not_repeated(#[case] end: CallEnd) {
     let mut node = single_node(Repeat::AtMostOnce);
     let token = node.request("r");
-    node.end(node.calls[0].call, CallEnd::Broken);
+    node.end(node.calls[0].call, end);
     assert!(node.calls.is_empty());
     assert!(matches!(node.reply(token), Some(Reply::Failed(_))));
 }
 
+/// The log tells an answer over the limit from a broken one, and the leaf is avoided as for that.
+#[rstest]
+#[case::lost(CallEnd::Broken, "broken")]
+#[case::too_large(CallEnd::TooLarge, "too_large")]
+fn idempotent_lost_answer_is_noted(#[case] end: CallEnd, #[case] expected: &str) {
+    let mut node = single_node(Repeat::Idempotent);
+    node.request("r");
+    let first = node.calls[0].clone();
+    node.end(first.call, end);
+    let noted = node
+        .notes
+        .iter()
+        .any(|note| matches!(note, Note::Retried { cause, .. } if *cause == expected));
+    assert!(noted, "{:?}", node.notes);
+    for _ in 0..20 {
+        node.serve_except(|_| false);
+        node.request("r");
+        assert_ne!(node.calls[0].leaf, first.leaf);
+    }
+}
+
 #[test]
 fn at_most_once_silent_leaf_is_not_hedged() {
     let mut node = single_node(Repeat::AtMostOnce);
@@ -196,6 +219,7 @@
 
 #[rstest]
 #[case::lost(CallEnd::Broken)]
+#[case::too_large(CallEnd::TooLarge)]
 #[case::leaf_failed(failure())]
 fn idempotent_runs_on_no_more_leafs_than_allowed(#[case] end: CallEnd) {
     let mut node = single_node(Repeat::Idempotent);
@@ -206,7 +230,7 @@
     node.end(node.calls[0].call, end.clone());
     assert!(node.calls.is_empty(), "attempts are used up");
     match (end, node.reply(token)) {
-        (CallEnd::Broken, Some(Reply::Failed(_))) => {}
+        (CallEnd::Broken | CallEnd::TooLarge, Some(Reply::Failed(_))) => {}
         (CallEnd::Answer(own), Some(Reply::Answer(answer))) => assert_eq!(own, *answer),
         (_, reply) => panic!("{reply:?}"),
     }
--- a/crates/engine/src/counts.rs
+++ b/crates/engine/src/counts.rs
@@ -27,6 +27,8 @@
     pub refused: u64,
     /// Answers whose stamp did not match.
     pub mismatches: u64,
+    /// Leaf answers over the limit.
+    pub too_large: u64,
     /// Messages sent to peers for control.
     pub control_messages: u64,
     /// Store reads and writes asked for.
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -108,6 +108,10 @@
             LeafEnd::Failed => (Verdict::Good(service), CallEnd::Unknown(Doubt::LeafError)),
             LeafEnd::NoConnection => (Verdict::Unreachable, CallEnd::NotRun(Refusal::Unreachable)),
             LeafEnd::Broken => (Verdict::Broken, CallEnd::Unknown(Doubt::ConnectionLost)),
+            LeafEnd::TooLarge => {
+                self.counts.too_large += 1;
+                (Verdict::Broken, CallEnd::Unknown(Doubt::ConnectionLost))
+            }
         };
         if let Some(gate) = self.holder.gates.get_mut(&running.leaf) {
             gate.finish(verdict, now);
--- a/crates/engine/src/io.rs
+++ b/crates/engine/src/io.rs
@@ -109,6 +109,8 @@
     NoConnection,
     /// The connection broke or the timeout passed after the first byte was sent.
     Broken,
+    /// The answer went over the limit.
+    TooLarge,
 }
 
 /// `Object` is a value read from the store.
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -4,20 +4,17 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use http_body_util::Full;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use monsoondeal_edge::{Answer, CallEnd, Send};
-use monsoondeal_node::stream::Stream;
+use monsoondeal_node::client::{ANSWER_LIMIT, AnswerError, Sender, handshake, read_body};
 
 use crate::dial;
 use crate::event::{Event, EventSender, Inbound, send};
 use crate::segment;
 use crate::settings::HeaderNames;
 
-/// Largest answer of a leaf, in bytes.
-const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
 /// Longest time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// How long a connection may be idle if the leaf does not say.
@@ -44,7 +41,7 @@
 /// `Connection` is an open connection to a leaf without a call on it.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     idle_since: Instant,
     idle_limit: Duration,
 }
@@ -114,7 +111,7 @@
             Ok(response) => return read(connection.sender, response, inbound, names).await,
             Err(mut error) => match error.take_message() {
                 Some(unsent) => request = unsent,
-                None => return (None, CallEnd::Broken),
+                None => return (None, lost(&AnswerError::of(error.error()))),
             },
         }
     }
@@ -128,15 +125,15 @@
         Ok(response) => read(sender, response, inbound, names).await,
         Err(mut error) => match error.take_message() {
             Some(_) => (None, CallEnd::Unsent),
-            None => (None, CallEnd::Broken),
+            None => (None, lost(&AnswerError::of(error.error()))),
         },
     }
 }
 
-async fn open(call: &Send) -> Option<SendRequest<Full<Bytes>>> {
+async fn open(call: &Send) -> Option<Sender> {
     let limit = CONNECT_LIMIT.min(call.budget);
     let stream = dial::connect(call.addr, limit).await.ok()?;
-    let (sender, connection) = handshake(Stream::new(stream)).await.ok()?;
+    let (sender, connection) = handshake(stream, ANSWER_LIMIT).await.ok()?;
     compio::runtime::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to a leaf ended: {error}");
@@ -170,15 +167,16 @@
 }
 
 async fn read(
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     response: Response<hyper::body::Incoming>,
     inbound: &Inbound,
     names: &HeaderNames,
 ) -> (Option<Connection>, CallEnd) {
     let (parts, body) = response.into_parts();
     let (status, headers) = (parts.status, parts.headers);
-    let Ok(body) = Limited::new(body, ANSWER_LIMIT).collect().await else {
-        return (None, CallEnd::Broken);
+    let body = match read_body(body, ANSWER_LIMIT).await {
+        Ok(body) => body,
+        Err(error) => return (None, lost(&error)),
     };
     let echo = headers.get(&names.request_id);
     if echo.is_some_and(|echo| echo.as_bytes() != inbound.id.as_ref()) {
@@ -213,11 +211,19 @@
         headers,
         stamp,
         parts,
-        body: body.to_bytes(),
+        body,
     };
     (connection, CallEnd::Answer(answer))
 }
 
+/// Returns how a call ended whose answer did not arrive whole.
+fn lost(error: &AnswerError) -> CallEnd {
+    match error {
+        AnswerError::OverLimit => CallEnd::TooLarge,
+        AnswerError::Broken(_) => CallEnd::Broken,
+    }
+}
+
 /// Returns the signatures of the parts in the answer of a node that served a segment.
 fn part_stamps(headers: &HeaderMap, names: &HeaderNames) -> Vec<Bytes> {
     let Some(list) = headers.get(&names.parts).and_then(|v| v.to_str().ok()) else {
--- a/crates/gateway/src/relay/link.rs
+++ b/crates/gateway/src/relay/link.rs
@@ -35,7 +35,8 @@
 
 /// Hands a follower to the relay and writes frames to it until either side ends.
 async fn serve(stream: TcpStream, events: RelaySender) {
-    let accepting = tokio_tungstenite::accept_async(frame::wrap(stream));
+    let limits = Some(frame::limits());
+    let accepting = tokio_tungstenite::accept_async_with_config(frame::wrap(stream), limits);
     let Ok(Ok(socket)) = timeout(OPEN_LIMIT, accepting).await else {
         log::debug!("a connection of a node was not opened");
         return;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A gateway on loopback, with leafs that answer as each test says.
 #![allow(dead_code)]
 
+pub mod endless;
+
 use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -8,7 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_channel::mpsc::unbounded;
 use hyper::header::HeaderName;
@@ -232,7 +234,11 @@
 
     /// Starts a gateway with one route, `/r/`, to a service with these leafs.
     pub fn with_leafs(repeat: Repeat, leafs: &[&Leaf]) -> Self {
-        let addrs: Vec<SocketAddr> = leafs.iter().map(|leaf| leaf.addr).collect();
+        Self::with_addrs(repeat, leafs.iter().map(|leaf| leaf.addr).collect())
+    }
+
+    /// Starts a gateway with one route, `/r/`, to a service with leafs at these addresses.
+    pub fn with_addrs(repeat: Repeat, addrs: Vec<SocketAddr>) -> Self {
         let gateway = Self::start_with(move || {
             let entries = addrs.into_iter().enumerate().map(entry);
             vec![
@@ -301,7 +307,7 @@
 where
     F: Fn() -> bool,
 {
-    let started = std::time::Instant::now();
+    let started = Instant::now();
     while !is_so() {
         assert!(started.elapsed() < PATIENCE, "the state did not come");
         thread::sleep(Duration::from_millis(5));
--- /dev/null
+++ b/crates/gateway/tests/endless_body.rs
@@ -0,0 +1,59 @@
+//! Leafs whose answers do not end after a good head.
+
+mod common;
+
+use common::endless::{
+    CHUNK, LARGE_BYTES, check_at_most_once, check_idempotent, chunk_extension, chunked, head_with,
+    huge_length, trailers, without_length,
+};
+use common::{Gateway, Leaf, ask, request_text};
+use monsoondeal_edge::Repeat;
+use rstest::rstest;
+use standin::endless::Endless;
+
+#[rstest]
+#[case::without_length(Endless::fast(without_length, "more"))]
+#[case::huge_length(Endless::fast(huge_length, "more"))]
+#[case::chunked(Endless::fast(chunked, CHUNK))]
+#[case::chunk_extension(Endless::fast(chunk_extension, "more"))]
+#[case::chunk_size(Endless::fast(chunked, "0"))]
+#[case::trailers(Endless::fast(trailers, "x-trailer: 1\r\n"))]
+#[case::slow_without_length(Endless::slow(without_length, "more"))]
+#[case::slow_chunked(Endless::slow(chunked, CHUNK))]
+#[case::slow_chunk_extension(Endless::slow(chunk_extension, "more"))]
+#[case::slow_trailers(Endless::slow(trailers, "x-trailer: 1\r\n"))]
+fn idempotent_endless_answer(#[case] endless: Endless) {
+    check_idempotent(endless);
+}
+
+#[rstest]
+#[case::without_length(Endless::fast(without_length, "more"))]
+#[case::huge_length(Endless::fast(huge_length, "more"))]
+#[case::chunked(Endless::fast(chunked, CHUNK))]
+#[case::chunk_extension(Endless::fast(chunk_extension, "more"))]
+#[case::chunk_size(Endless::fast(chunked, "0"))]
+#[case::trailers(Endless::fast(trailers, "x-trailer: 1\r\n"))]
+#[case::slow_without_length(Endless::slow(without_length, "more"))]
+#[case::slow_chunked(Endless::slow(chunked, CHUNK))]
+#[case::slow_chunk_extension(Endless::slow(chunk_extension, "more"))]
+#[case::slow_trailers(Endless::slow(trailers, "x-trailer: 1\r\n"))]
+fn at_most_once_endless_answer(#[case] endless: Endless) {
+    check_at_most_once(endless);
+}
+
+/// The largest answer that is documented is served.
+#[test]
+fn large_answer_is_served() {
+    let leaf = Leaf::start(|stream, head| {
+        let body = "a".repeat(LARGE_BYTES);
+        let fields = format!("content-length: {}\r\n", body.len());
+        common::write(stream, &(head_with(head, &fields) + &body));
+    });
+    let gateway = Gateway::with_leafs(Repeat::Idempotent, &[&leaf]);
+    let response = ask(
+        gateway.front,
+        &request_text("id", "/r/x", "connection: close\r\n"),
+    );
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert!(response.len() > LARGE_BYTES);
+}
--- /dev/null
+++ b/crates/gateway/tests/endless_head.rs
@@ -0,0 +1,61 @@
+//! Leafs whose heads do not end, and bytes without end where no answer is due.
+
+mod common;
+
+use common::endless::{
+    INTERIM, assert_closed, check_at_most_once, check_idempotent, nothing, open_field, status_line,
+    whole,
+};
+use common::{Gateway, field};
+use monsoondeal_edge::Repeat;
+use rstest::rstest;
+use standin::endless::{Endless, EndlessServer};
+
+#[rstest]
+#[case::header_line(Endless::fast(open_field, "a"))]
+#[case::header_fields(Endless::fast(status_line, "x-field: 1\r\n"))]
+#[case::no_protocol(Endless::fast(nothing, "\u{1}\u{2} this is no answer "))]
+#[case::status_line(Endless::fast(nothing, "HTTP/1.1 200 OK and more "))]
+#[case::empty_lines(Endless::fast(nothing, "\r\n"))]
+#[case::interim(Endless::fast(nothing, INTERIM))]
+#[case::slow_header_line(Endless::slow(open_field, "a"))]
+#[case::slow_interim(Endless::slow(nothing, INTERIM))]
+fn idempotent_endless_answer(#[case] endless: Endless) {
+    check_idempotent(endless);
+}
+
+#[rstest]
+#[case::header_line(Endless::fast(open_field, "a"))]
+#[case::header_fields(Endless::fast(status_line, "x-field: 1\r\n"))]
+#[case::no_protocol(Endless::fast(nothing, "\u{1}\u{2} this is no answer "))]
+#[case::status_line(Endless::fast(nothing, "HTTP/1.1 200 OK and more "))]
+#[case::empty_lines(Endless::fast(nothing, "\r\n"))]
+#[case::interim(Endless::fast(nothing, INTERIM))]
+#[case::slow_header_line(Endless::slow(open_field, "a"))]
+#[case::slow_interim(Endless::slow(nothing, INTERIM))]
+fn at_most_once_endless_answer(#[case] endless: Endless) {
+    check_at_most_once(endless);
+}
+
+/// Bytes after a whole answer are no answer to the next request, and end the connection.
+#[rstest]
+#[case::no_protocol(Endless::fast(whole, "more"))]
+#[case::empty_lines(Endless::fast(whole, "\r\n"))]
+#[case::interim(Endless::fast(whole, INTERIM))]
+#[case::slow_interim(Endless::slow(whole, INTERIM))]
+#[case::slow_empty_lines(Endless::slow(whole, "\r\n"))]
+fn kept_connection_endless_bytes(#[case] endless: Endless) {
+    let leaf = EndlessServer::start(endless);
+    let gateway = Gateway::with_addrs(Repeat::Idempotent, vec![leaf.addr]);
+    for at in 0..3 {
+        let id = format!("id-{at}");
+        let response = gateway.request(&id);
+        let is_whole = response.starts_with("HTTP/1.1 200") && response.ends_with("good");
+        let is_own = field(&response, "x-id") == Some(id.as_str());
+        assert!(
+            is_whole && is_own || response.starts_with("HTTP/1.1 50"),
+            "{response}"
+        );
+    }
+    assert_closed(&leaf.wait_until_closed());
+}
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -21,7 +21,7 @@
 }
 
 /// All counters.
-pub(crate) const COUNTERS: [Counter<Counts>; 13] = [
+pub(crate) const COUNTERS: [Counter<Counts>; 14] = [
     ("requests", "Requests of callers", |c| c.requests),
     ("answered", "Requests answered", |c| c.answered),
     (
@@ -45,6 +45,7 @@
     ("mismatches", "Leaf answers from another snapshot", |c| {
         c.mismatches
     }),
+    ("too_large", "Leaf answers over the limit", |c| c.too_large),
     (
         "control_messages",
         "Messages sent to peers for control",
--- a/crates/node/src/leafs.rs
+++ b/crates/node/src/leafs.rs
@@ -11,28 +11,23 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use http_body_util::Full;
 use hyper::{Request, Response, StatusCode};
 use monsoondeal_core::{IndexVersion, MapVersion, Snapshot};
 use monsoondeal_engine::Input;
 use monsoondeal_engine::io::{LeafCall, LeafEnd, Ticket};
 use serde_json::value::RawValue;
 
+use crate::client::{ANSWER_LIMIT, AnswerError, Sender, handshake, read_body};
 use crate::event::{Event, EventSender, send};
 use crate::http::header;
-use crate::stream::Stream;
 
-/// Largest answer of a leaf, in bytes.
-const ANSWER_LIMIT: usize = 1024 * 1024;
 /// Longest time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
-type Connection = SendRequest<Full<Bytes>>;
-
 /// Serves the calls to one leaf until the sender is dropped.
 pub(crate) async fn serve(mut calls: mpsc::UnboundedReceiver<LeafCall>, events: EventSender) {
-    let mut idle: Vec<Connection> = Vec::new();
+    let mut idle: Vec<Sender> = Vec::new();
     let mut running = FuturesUnordered::new();
     loop {
         futures_util::select! {
@@ -58,10 +53,10 @@
 
 /// Runs one call and returns the connection if it can be used again.
 async fn run(
-    idle: Option<Connection>,
+    idle: Option<Sender>,
     call: LeafCall,
     events: EventSender,
-) -> (Option<Connection>, Ticket, LeafEnd) {
+) -> (Option<Sender>, Ticket, LeafEnd) {
     let ticket = call.ticket;
     let limit = call.timeout;
     match timeout(limit, exchange(idle, call, &events)).await {
@@ -71,10 +66,10 @@
 }
 
 async fn exchange(
-    idle: Option<Connection>,
+    idle: Option<Sender>,
     call: LeafCall,
     events: &EventSender,
-) -> (Option<Connection>, LeafEnd) {
+) -> (Option<Sender>, LeafEnd) {
     let Some(mut request) = request(&call) else {
         return (idle, LeafEnd::NoConnection);
     };
@@ -84,7 +79,7 @@
             Ok(response) => return read(connection, response).await,
             Err(mut error) => match error.take_message() {
                 Some(unsent) => request = unsent,
-                None => return (None, LeafEnd::Broken),
+                None => return (None, lost(&AnswerError::of(error.error()))),
             },
         }
     }
@@ -95,18 +90,18 @@
         Ok(response) => read(connection, response).await,
         Err(mut error) => match error.take_message() {
             Some(_) => (None, LeafEnd::NoConnection),
-            None => (None, LeafEnd::Broken),
+            None => (None, lost(&AnswerError::of(error.error()))),
         },
     }
 }
 
-async fn connect(call: &LeafCall, events: &EventSender) -> Option<Connection> {
+async fn connect(call: &LeafCall, events: &EventSender) -> Option<Sender> {
     let stream = timeout(CONNECT_LIMIT, TcpStream::connect(call.addr))
         .await
         .ok()?
         .ok()?;
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = handshake(Stream::new(stream)).await.ok()?;
+    let (sender, connection) = handshake(stream, ANSWER_LIMIT).await.ok()?;
     let (leaf, events) = (call.leaf, events.clone());
     compio::runtime::spawn(async move {
         let _ = connection.await;
@@ -130,14 +125,14 @@
 }
 
 async fn read(
-    connection: Connection,
+    connection: Sender,
     response: Response<hyper::body::Incoming>,
-) -> (Option<Connection>, LeafEnd) {
+) -> (Option<Sender>, LeafEnd) {
     let (parts, body) = response.into_parts();
-    let Ok(body) = Limited::new(body, ANSWER_LIMIT).collect().await else {
-        return (None, LeafEnd::Broken);
+    let body = match read_body(body, ANSWER_LIMIT).await {
+        Ok(body) => body,
+        Err(error) => return (None, lost(&error)),
     };
-    let body = body.to_bytes();
     let end = match parts.status {
         StatusCode::OK => data(&parts.headers, body),
         StatusCode::CONFLICT => LeafEnd::Mismatch,
@@ -149,6 +144,14 @@
     (Some(connection), end)
 }
 
+/// Returns how a call ended whose answer did not arrive whole.
+fn lost(error: &AnswerError) -> LeafEnd {
+    match error {
+        AnswerError::OverLimit => LeafEnd::TooLarge,
+        AnswerError::Broken(_) => LeafEnd::Broken,
+    }
+}
+
 /// Checks an answer: it must carry a stamp and be JSON.
 fn data(headers: &hyper::HeaderMap, body: Bytes) -> LeafEnd {
     let number = |name| headers.get(name)?.to_str().ok()?.parse().ok();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod admin;
 pub mod ask;
 mod callers;
+pub mod client;
 mod counters;
 mod error;
 pub mod event;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,6 +1,9 @@
 //! Connections that peers open to this node.
 
+use std::time::Duration;
+
 use compio::net::{TcpListener, TcpStream};
+use compio::time::timeout;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
@@ -11,6 +14,9 @@
 use crate::event::{Event, EventSender, send};
 use crate::frame;
 
+/// Longest time for a peer to open a connection.
+const OPEN_LIMIT: Duration = Duration::from_secs(1);
+
 /// Accepts connections until the process ends.
 pub(crate) async fn listen(listener: TcpListener, events: EventSender) {
     let mut next = 0;
@@ -25,8 +31,11 @@
 
 async fn serve(stream: TcpStream, link: LinkId, events: EventSender) {
     let limits = Some(frame::limits());
-    let accepted = tokio_tungstenite::accept_async_with_config(frame::wrap(stream), limits).await;
-    let Ok(socket) = accepted else { return };
+    let accepting = tokio_tungstenite::accept_async_with_config(frame::wrap(stream), limits);
+    let Ok(Ok(socket)) = timeout(OPEN_LIMIT, accepting).await else {
+        log::debug!("a connection of a peer was not opened");
+        return;
+    };
     let (mut sink, mut stream) = socket.split();
     let (sender, receiver) = mpsc::unbounded();
     send(&events, Event::LinkUp(link, sender));
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -4,27 +4,36 @@
 //! `If-None-Match: *`, and watched by a `GET` that waits: `?after=VERSION&wait_ms=N` returns as soon
 //! as the version differs, or `304` after the wait. The version is the entity tag (RFC 9110).
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use compio::net::TcpStream;
 use compio::time::{sleep, timeout};
-use cyper::Client;
-use hyper::StatusCode;
-use hyper::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{ETAG, HOST, IF_MATCH, IF_NONE_MATCH};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use monsoondeal_core::Clock;
 use monsoondeal_engine::Input;
 use monsoondeal_engine::io::Object;
 use quick_error::quick_error;
 use rand::RngExt;
 
+use crate::client::{AnswerError, Sender, handshake, read_body};
 use crate::event::{Event, EventSender, send};
 
 /// How long a watch waits at the store.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Longest time for the answer to a watch beyond its wait.
+const WATCH_GRACE: Duration = Duration::from_secs(3);
 /// Longest time for a read.
 const READ_LIMIT: Duration = Duration::from_secs(1);
-/// Longest time for a write, and for a watch beyond its wait.
+/// Longest time for a write.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
+/// Largest answer of the store with its head, in bytes. A value has a megabyte at most.
+const OBJECT_LIMIT: usize = 4 * 1024 * 1024;
 /// Wait after a failed watch, in milliseconds; doubled up to the limit, with jitter.
 const RETRY_FIRST_MILLIS: u64 = 100;
 const RETRY_LIMIT_MILLIS: u64 = 3_000;
@@ -48,19 +57,22 @@
     }
 }
 
-/// `Store` is a client of the object API.
+/// `Store` is a client of the object API. Its clones share connections.
 #[derive(Clone, Debug)]
 pub struct Store {
-    base: String,
-    client: Client,
+    /// Host and port.
+    host: String,
+    /// Connections without a call.
+    idle: Rc<RefCell<Vec<Sender>>>,
 }
 
 impl Store {
     /// Creates a client for the API at `base`, as in `http://10.0.0.1:9000`.
     pub fn new(base: &str) -> Self {
+        let host = base.strip_prefix("http://").unwrap_or(base);
         Self {
-            base: base.to_owned(),
-            client: Client::new(),
+            host: host.trim_end_matches('/').to_owned(),
+            idle: Rc::default(),
         }
     }
 
@@ -70,8 +82,11 @@
     ///
     /// If there is no answer in time, or none that can be read.
     pub async fn read(&self, key: &str) -> Result<Option<Object>, StoreError> {
-        let url = format!("{}/v1/objects/{key}", self.base);
-        let found = within(READ_LIMIT, self.get(&url)).await?;
+        self.read_within(READ_LIMIT, key).await
+    }
+
+    async fn read_within(&self, limit: Duration, key: &str) -> Result<Option<Object>, StoreError> {
+        let found = within(limit, self.get(&path(key))).await?;
         Ok(found.flatten())
     }
 
@@ -83,11 +98,8 @@
     ) -> Result<Option<Option<Object>>, StoreError> {
         let after = after.unwrap_or(0);
         let wait = WATCH_WAIT.as_millis();
-        let url = format!(
-            "{}/v1/objects/{key}?after={after}&wait_ms={wait}",
-            self.base
-        );
-        within(WATCH_WAIT + CALL_LIMIT, self.get(&url)).await
+        let path = format!("{}?after={after}&wait_ms={wait}", path(key));
+        within(WATCH_WAIT + WATCH_GRACE, self.get(&path)).await
     }
 
     /// Writes an object if it has the version `expects`, or if it is absent. Returns its new version.
@@ -102,17 +114,17 @@
         expects: Option<u64>,
         value: Bytes,
     ) -> Result<u64, StoreError> {
-        let url = format!("{}/v1/objects/{key}", self.base);
         let writing = async {
-            let request = self.client.put(url.as_str()).map_err(unreachable)?;
+            let request = Request::put(path(key));
             let request = match expects {
                 Some(version) => request.header(IF_MATCH, format!("\"{version}\"")),
                 None => request.header(IF_NONE_MATCH, "*"),
             };
-            let request = request.map_err(unreachable)?.body(value);
-            let response = request.send().await.map_err(unreachable)?;
-            match response.status() {
-                StatusCode::OK | StatusCode::CREATED => version(response.headers()),
+            let request = request.header(HOST, &self.host).body(Full::new(value));
+            let request = request.map_err(unreachable)?;
+            let (status, headers, _) = self.call(request).await?;
+            match status {
+                StatusCode::OK | StatusCode::CREATED => version(&headers),
                 StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict),
                 status => Err(StoreError::Unreachable(format!("status {status}"))),
             }
@@ -121,13 +133,13 @@
     }
 
     /// Gets an object: `None` if it is unchanged, `Some(None)` if it is absent.
-    async fn get(&self, url: &str) -> Result<Option<Option<Object>>, StoreError> {
-        let request = self.client.get(url).map_err(unreachable)?;
-        let response = request.send().await.map_err(unreachable)?;
-        match response.status() {
+    async fn get(&self, path: &str) -> Result<Option<Option<Object>>, StoreError> {
+        let request = Request::get(path).header(HOST, &self.host);
+        let request = request.body(Full::default()).map_err(unreachable)?;
+        let (status, headers, value) = self.call(request).await?;
+        match status {
             StatusCode::OK => {
-                let version = version(response.headers())?;
-                let value = response.bytes().await.map_err(unreachable)?;
+                let version = version(&headers)?;
                 Ok(Some(Some(Object { version, value })))
             }
             StatusCode::NOT_FOUND => Ok(Some(None)),
@@ -135,23 +147,76 @@
             status => Err(StoreError::Unreachable(format!("status {status}"))),
         }
     }
+
+    /// Sends a request and reads the whole answer. A call that fails or is given up leaves no connection
+    /// behind.
+    async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, HeaderMap, Bytes), StoreError> {
+        let (connection, response) = self.send(request).await?;
+        let (parts, body) = response.into_parts();
+        let body = read_body(body, OBJECT_LIMIT).await.map_err(unreachable)?;
+        self.idle.borrow_mut().push(connection);
+        Ok((parts.status, parts.headers, body))
+    }
+
+    async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Sender, Response<Incoming>), StoreError> {
+        // An idle connection that the store has closed gives the request back unsent.
+        while let Some(mut connection) = self.take_idle() {
+            match connection.try_send_request(request).await {
+                Ok(response) => return Ok((connection, response)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(unreachable(AnswerError::of(error.error()))),
+                },
+            }
+        }
+        let mut connection = self.open().await?;
+        match connection.try_send_request(request).await {
+            Ok(response) => Ok((connection, response)),
+            Err(error) => Err(unreachable(AnswerError::of(error.error()))),
+        }
+    }
+
+    fn take_idle(&self) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(Sender::is_ready);
+        idle.pop()
+    }
+
+    async fn open(&self) -> Result<Sender, StoreError> {
+        let stream = TcpStream::connect(&self.host).await.map_err(unreachable)?;
+        stream.set_nodelay(true).map_err(unreachable)?;
+        let (sender, connection) = handshake(stream, OBJECT_LIMIT).await.map_err(unreachable)?;
+        compio::runtime::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to the store ended: {error}");
+            }
+        })
+        .detach();
+        Ok(sender)
+    }
 }
 
 /// Watches one object until the task is dropped.
 pub(crate) async fn watch(store: Store, key: String, clock: Clock, events: EventSender) {
     let mut after = None;
-    let mut first = true;
+    // The first read does not wait, so that the state is known at once.
+    let mut read_limit = Some(READ_LIMIT);
     let mut retry = RETRY_FIRST_MILLIS;
     loop {
         let asked = clock.now();
-        // The first read does not wait, so that the state is known at once.
-        let found = match first {
-            true => store.read(&key).await.map(Some),
-            false => store.wait(&key, after).await,
+        let found = match read_limit {
+            Some(limit) => store.read_within(limit, &key).await.map(Some),
+            None => store.wait(&key, after).await,
         };
         match found {
             Ok(found) => {
-                first = false;
+                read_limit = None;
                 retry = RETRY_FIRST_MILLIS;
                 if let Some(object) = found {
                     after = object.as_ref().map(|o| o.version);
@@ -213,7 +278,11 @@
     StoreError::Unreachable(error.to_string())
 }
 
-fn version(headers: &hyper::HeaderMap) -> Result<u64, StoreError> {
+fn path(key: &str) -> String {
+    format!("/v1/objects/{key}")
+}
+
+fn version(headers: &HeaderMap) -> Result<u64, StoreError> {
     let tag = headers.get(ETAG).and_then(|tag| tag.to_str().ok());
     let version = tag.and_then(|tag| tag.trim_matches('"').parse().ok());
     version.ok_or_else(|| StoreError::Malformed("entity tag is no version".to_owned()))
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -1,10 +1,15 @@
-//! A TCP stream for the HTTP library that reports read errors.
+//! A TCP stream for the HTTP library that reports read errors, and ends answers that are too long.
 //!
 //! The stream adapter of the runtime drops the error of a read and reads again. After a reset the next
 //! read reports the end of the stream, so that a body without a length that was cut by a reset looks
 //! complete. [`Stream`] keeps the error and reports it instead.
+//!
+//! The HTTP library bounds a head, but reads interim responses and the framing of a body without end.
+//! A stream with a limit reads no more than that for one request, whatever the bytes are.
 
 use std::cell::Cell;
+use std::error::Error;
+use std::fmt;
 use std::io;
 use std::net::Shutdown;
 use std::pin::Pin;
@@ -19,13 +24,66 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 
-/// The first error of a read, shared by the two layers of a stream.
-type Failure = Rc<Cell<Option<io::ErrorKind>>>;
+/// `OverLimit` is the error of a read beyond the limit of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OverLimit;
+
+impl fmt::Display for OverLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer is over the limit")
+    }
+}
+
+impl Error for OverLimit {}
+
+/// Why a stream reads no more.
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    Io(io::ErrorKind),
+    OverLimit,
+}
+
+impl From<Failure> for io::Error {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Io(kind) => kind.into(),
+            Failure::OverLimit => Self::other(OverLimit),
+        }
+    }
+}
 
-/// A stream that notes the error of a read.
+/// What the two layers of a stream share.
+struct Gauge {
+    /// The first failure of a read.
+    failure: Cell<Option<Failure>>,
+    /// Bytes that may still be read before the next write.
+    left: Cell<usize>,
+    /// Bytes that may be read between two writes.
+    limit: usize,
+}
+
+impl Gauge {
+    /// Takes read bytes off what is left.
+    fn take(&self, bytes: usize) -> io::Result<usize> {
+        match self.left.get().checked_sub(bytes) {
+            Some(left) => {
+                self.left.set(left);
+                Ok(bytes)
+            }
+            None => Err(self.fail(Failure::OverLimit)),
+        }
+    }
+
+    fn fail(&self, failure: Failure) -> io::Error {
+        self.failure.set(Some(failure));
+        failure.into()
+    }
+}
+
+/// A stream that notes the error of a read, and counts what is read.
 struct Noting {
     stream: TcpStream,
-    failure: Failure,
+    gauge: Rc<Gauge>,
 }
 
 impl AsyncRead for Noting {
@@ -33,11 +91,15 @@
     where
         B: IoBufMut,
     {
-        let result = self.stream.read(buf).await;
-        if let Err(error) = &result.0 {
-            self.failure.set(Some(error.kind()));
-        }
-        result
+        let BufResult(read, buf) = self.stream.read(buf).await;
+        let read = match read {
+            Ok(bytes) => self.gauge.take(bytes),
+            Err(error) => {
+                self.gauge.fail(Failure::Io(error.kind()));
+                Err(error)
+            }
+        };
+        BufResult(read, buf)
     }
 }
 
@@ -62,20 +124,30 @@
 /// `Stream` is a TCP stream for the HTTP library.
 pub struct Stream {
     inner: HyperStream<Noting>,
-    failure: Failure,
+    gauge: Rc<Gauge>,
 }
 
 impl Stream {
-    /// Creates a stream over an open connection.
+    /// Creates a stream over an open connection, for a side that bounds what it reads itself.
     pub fn new(stream: TcpStream) -> Self {
-        let failure = Failure::default();
+        Self::limited(stream, usize::MAX)
+    }
+
+    /// Creates a stream for the side that asks. It reads at most `limit` bytes after each write, and
+    /// fails with [`OverLimit`] when there are more.
+    pub fn limited(stream: TcpStream, limit: usize) -> Self {
+        let gauge = Rc::new(Gauge {
+            failure: Cell::new(None),
+            left: Cell::new(limit),
+            limit,
+        });
         let noting = Noting {
             stream,
-            failure: failure.clone(),
+            gauge: gauge.clone(),
         };
         Self {
             inner: HyperStream::new(noting),
-            failure,
+            gauge,
         }
     }
 }
@@ -86,14 +158,14 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        if let Some(kind) = self.failure.get() {
-            return Poll::Ready(Err(kind.into()));
+        if let Some(failure) = self.gauge.failure.get() {
+            return Poll::Ready(Err(failure.into()));
         }
         let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
-        match (polled, self.failure.get()) {
-            // The adapter has dropped the error and begun another read.
-            (Poll::Pending, Some(kind)) => Poll::Ready(Err(kind.into())),
-            (polled, _) => polled,
+        match (polled, self.gauge.failure.get()) {
+            // The adapter has dropped the error, and may hand out what was read beyond the limit.
+            (_, Some(failure)) => Poll::Ready(Err(failure.into())),
+            (polled, None) => polled,
         }
     }
 }
@@ -104,6 +176,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        // A request allows the other side one more answer.
+        self.gauge.left.set(self.gauge.limit);
         Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
--- /dev/null
+++ b/crates/node/tests/client.rs
@@ -0,0 +1,91 @@
+//! The bounds of an answer, to the byte.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+
+use compio::net::TcpStream;
+use http_body_util::Full;
+use hyper::Request;
+use monsoondeal_node::client::{AnswerError, Sender, handshake, read_body};
+use rstest::rstest;
+
+/// Limit of the connections in these tests, in bytes.
+const LIMIT: usize = 100_000;
+/// Requests on one connection.
+const REQUESTS: usize = 3;
+
+/// Answers requests on one connection with texts of `length` bytes, heads and framing included.
+fn serve(length: usize, chunk: Option<usize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let text = answer(length, chunk);
+        let mut request = [0; 1_024];
+        while stream.read(&mut request).is_ok_and(|count| count > 0) {
+            // The client closes the connection when there is too much.
+            if stream.write_all(text.as_bytes()).is_err() {
+                return;
+            }
+        }
+    });
+    addr
+}
+
+fn answer(length: usize, chunk: Option<usize>) -> String {
+    match chunk {
+        Some(chunk) => {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            let end = "0\r\n\r\n";
+            let piece = format!("{chunk:x}\r\n{}\r\n", "a".repeat(chunk));
+            let pieces = (length - head.len() - end.len()) / piece.len();
+            format!("{head}{}{end}", piece.repeat(pieces))
+        }
+        None => {
+            let head = |body: usize| format!("HTTP/1.1 200 OK\r\ncontent-length: {body}\r\n\r\n");
+            let body = length - head(length).len();
+            // A shorter number leaves room for a byte more.
+            let body = length - head(body).len();
+            head(body) + &"a".repeat(body)
+        }
+    }
+}
+
+async fn ask(sender: &mut Sender) -> Result<usize, AnswerError> {
+    sender
+        .ready()
+        .await
+        .map_err(|error| AnswerError::of(&error))?;
+    let request = Request::get("/").body(Full::default()).expect("a request");
+    let response = sender.send_request(request).await;
+    let response = response.map_err(|error| AnswerError::of(&error))?;
+    let body = read_body(response.into_body(), LIMIT).await;
+    body.map(|body| body.len())
+}
+
+/// Each answer on a connection has the whole limit; one byte more ends the connection.
+#[rstest]
+#[case::length_at_limit(LIMIT, None, true)]
+#[case::length_over_limit(LIMIT + 1, None, false)]
+#[case::length_far_over_limit(LIMIT * 10, None, false)]
+#[case::chunked_at_limit(LIMIT, Some(100), true)]
+#[case::framing_over_limit(LIMIT + 200, Some(1), false)]
+fn answer_of_length(#[case] length: usize, #[case] chunk: Option<usize>, #[case] is_whole: bool) {
+    let addr = serve(length, chunk);
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let stream = TcpStream::connect(addr).await.expect("a connection");
+        let (mut sender, connection) = handshake(stream, LIMIT).await.expect("a connection");
+        let task = compio::runtime::spawn(connection);
+        if is_whole {
+            for _ in 0..REQUESTS {
+                assert!(ask(&mut sender).await.is_ok());
+            }
+        } else {
+            assert_eq!(ask(&mut sender).await, Err(AnswerError::OverLimit));
+            // The connection ends without being told to.
+            drop(task.await);
+        }
+    });
+}
--- /dev/null
+++ b/crates/node/tests/endless.rs
@@ -0,0 +1,99 @@
+//! Answers of the object API that do not end.
+
+use std::time::{Duration, Instant};
+
+use monsoondeal_engine::io::Object;
+use monsoondeal_node::store::{Store, StoreError};
+use rstest::rstest;
+use standin::endless::{Endless, EndlessServer, kernel_bytes};
+
+/// Largest answer of the store with its head, as documented, in bytes.
+const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Longest time for a read.
+const READ_LIMIT: Duration = Duration::from_secs(1);
+/// Time for a loaded machine to close a connection.
+const GRACE: Duration = Duration::from_secs(3);
+
+const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nlink: <x>\r\n\r\n";
+
+fn nothing(_head: &str) -> String {
+    String::new()
+}
+
+fn open_field(_head: &str) -> String {
+    "HTTP/1.1 200 OK\r\nx-long: ".to_owned()
+}
+
+fn head_with(fields: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\netag: \"1\"\r\n{fields}\r\n")
+}
+
+fn without_length(_head: &str) -> String {
+    head_with("connection: close\r\n")
+}
+
+fn huge_length(_head: &str) -> String {
+    head_with("content-length: 9000000000000000000\r\n")
+}
+
+fn chunked(_head: &str) -> String {
+    head_with("transfer-encoding: chunked\r\n")
+}
+
+fn absent(_head: &str) -> String {
+    "HTTP/1.1 404 Not Found\r\nconnection: close\r\n\r\n".to_owned()
+}
+
+/// A read ends in time without a value, and the connection is closed.
+#[rstest]
+#[case::header_line(Endless::fast(open_field, "a"))]
+#[case::header_fields(Endless::fast(open_field, "1\r\nx-field: "))]
+#[case::no_protocol(Endless::fast(nothing, "no answer "))]
+#[case::interim(Endless::fast(nothing, INTERIM))]
+#[case::without_length(Endless::fast(without_length, "more"))]
+#[case::huge_length(Endless::fast(huge_length, "more"))]
+#[case::chunked(Endless::fast(chunked, "4\r\nmore\r\n"))]
+#[case::chunk_size(Endless::fast(chunked, "0"))]
+#[case::slow_header_line(Endless::slow(open_field, "a"))]
+#[case::slow_interim(Endless::slow(nothing, INTERIM))]
+#[case::slow_without_length(Endless::slow(without_length, "more"))]
+fn store_endless_answer(#[case] endless: Endless) {
+    let server = EndlessServer::start(endless);
+    let (elapsed, found) = read(&server);
+    assert!(found.is_err(), "{found:?}");
+    assert!(elapsed < READ_LIMIT + GRACE, "{elapsed:?}");
+    assert_closed(&server);
+}
+
+/// The body of an answer that says "absent" is not read without end either.
+#[rstest]
+#[case::fast(Endless::fast(absent, "more"))]
+#[case::slow(Endless::slow(absent, "more"))]
+fn store_absent_endless_body(#[case] endless: Endless) {
+    let server = EndlessServer::start(endless);
+    // Whether it is taken for absent does not matter here.
+    let _ = read(&server);
+    assert_closed(&server);
+}
+
+/// Reads an object, and lets the tasks of the client close what is left.
+fn read(server: &EndlessServer) -> (Duration, Result<Option<Object>, StoreError>) {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    let store = Store::new(&format!("http://{}", server.addr));
+    runtime.block_on(async {
+        let started = Instant::now();
+        let found = store.read("tree").await;
+        let elapsed = started.elapsed();
+        compio::time::sleep(READ_LIMIT).await;
+        (elapsed, found)
+    })
+}
+
+fn assert_closed(server: &EndlessServer) {
+    let pushes = server.wait_until_closed();
+    assert!(!pushes.is_empty(), "the case was not met");
+    for push in pushes {
+        assert!(push.bytes <= ANSWER_BYTES + kernel_bytes(), "{push:?}");
+        assert!(push.lasted < READ_LIMIT + GRACE, "{push:?}");
+    }
+}
--- /dev/null
+++ b/programs/standin/src/endless.rs
@@ -0,0 +1,180 @@
+//! A server that answers without end, in a head or a body, until the other side closes the connection.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Bytes in one write.
+const WRITE_BYTES: usize = 16 * 1024;
+/// Longest wait for connections to be closed.
+const CLOSE_LIMIT: Duration = Duration::from_secs(20);
+
+/// `Endless` is what an [`EndlessServer`] sends after it has read a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Endless {
+    /// Makes the beginning from the head of the request.
+    pub begin: fn(&str) -> String,
+    /// Sent again and again until a write fails.
+    pub piece: &'static str,
+    /// Pause between two writes.
+    pub pause: Duration,
+}
+
+/// `Push` is an answer without end, as far as the other side took it.
+#[derive(Clone, Copy, Debug)]
+pub struct Push {
+    /// Bytes that went into the connection.
+    pub bytes: usize,
+    /// Time until a write failed.
+    pub lasted: Duration,
+}
+
+/// `EndlessServer` is a server that answers without end until the other side closes the connection.
+#[derive(Debug)]
+pub struct EndlessServer {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    arrivals: Arc<AtomicUsize>,
+    pushes: Arc<Mutex<Vec<Push>>>,
+}
+
+impl Endless {
+    /// Sends as fast as the other side takes it.
+    pub const fn fast(begin: fn(&str) -> String, piece: &'static str) -> Self {
+        let pause = Duration::ZERO;
+        Self {
+            begin,
+            piece,
+            pause,
+        }
+    }
+
+    /// Sends a piece each 20 ms.
+    pub const fn slow(begin: fn(&str) -> String, piece: &'static str) -> Self {
+        let pause = Duration::from_millis(20);
+        Self {
+            begin,
+            piece,
+            pause,
+        }
+    }
+}
+
+impl EndlessServer {
+    /// Starts to listen on loopback.
+    ///
+    /// # Panics
+    ///
+    /// If there is no free port.
+    pub fn start(endless: Endless) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let leaf = Self {
+            addr: listener.local_addr().expect("an address"),
+            arrivals: Arc::default(),
+            pushes: Arc::default(),
+        };
+        let (arrivals, pushes) = (leaf.arrivals.clone(), leaf.pushes.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.expect("a connection");
+                let (arrivals, pushes) = (arrivals.clone(), pushes.clone());
+                thread::spawn(move || {
+                    if let Some(head) = read_head(&mut stream) {
+                        arrivals.fetch_add(1, Ordering::SeqCst);
+                        let push = push(&mut stream, &head, endless);
+                        pushes.lock().expect("no panic while locked").push(push);
+                    }
+                });
+            }
+        });
+        leaf
+    }
+
+    /// Returns the requests that have arrived.
+    pub fn arrivals(&self) -> usize {
+        self.arrivals.load(Ordering::SeqCst)
+    }
+
+    /// Waits until the other side has closed all connections, and returns what went into each.
+    ///
+    /// # Panics
+    ///
+    /// If one stays open.
+    pub fn wait_until_closed(&self) -> Vec<Push> {
+        let started = Instant::now();
+        loop {
+            let pushes = self.pushes.lock().expect("no panic while locked").clone();
+            if pushes.len() == self.arrivals() {
+                return pushes;
+            }
+            assert!(started.elapsed() < CLOSE_LIMIT, "a connection stays open");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// Writes an answer without end until a write fails. Pieces that wait go out in writes of many.
+fn push(stream: &mut TcpStream, head: &str, endless: Endless) -> Push {
+    let started = Instant::now();
+    let copies = if endless.pause.is_zero() {
+        WRITE_BYTES.div_ceil(endless.piece.len())
+    } else {
+        1
+    };
+    let pieces = endless.piece.repeat(copies);
+    let mut bytes = 0;
+    let mut text = (endless.begin)(head);
+    loop {
+        match stream.write(text.as_bytes()) {
+            Ok(count) if count < text.len() => {
+                bytes += count;
+                text = text.split_off(count);
+            }
+            Ok(count) => {
+                bytes += count;
+                text.clone_from(&pieces);
+                thread::sleep(endless.pause);
+            }
+            Err(_) => {
+                let lasted = started.elapsed();
+                return Push { bytes, lasted };
+            }
+        }
+    }
+}
+
+/// Returns the bytes that the system may hold between the two ends of a connection.
+///
+/// # Panics
+///
+/// If the system does not tell.
+pub fn kernel_bytes() -> usize {
+    ["tcp_rmem", "tcp_wmem"]
+        .iter()
+        .map(|name| longest(name))
+        .sum()
+}
+
+/// Returns the last of the three sizes of a system setting.
+fn longest(name: &str) -> usize {
+    let sizes = std::fs::read_to_string(format!("/proc/sys/net/ipv4/{name}"));
+    let sizes = sizes.expect("a Linux system");
+    let size = sizes.split_whitespace().next_back();
+    size.and_then(|size| size.parse().ok()).expect("a size")
+}
+
+/// Reads up to the end of a request's head.
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return None,
+        }
+    }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
--- a/programs/standin/src/lib.rs
+++ b/programs/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! libraries as the daemon, and has switches for the faults that the real ones show.
 
 pub mod caller;
+pub mod endless;
 pub mod leaf;
 pub mod ports;
 pub mod process;
--- a/programs/standin/tests/hostile.rs
+++ b/programs/standin/tests/hostile.rs
@@ -2,9 +2,11 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use standin::caller::Balancer;
+use monsoondeal_core::LeafId;
+use standin::caller::{Balancer, is_own_answer};
+use standin::endless::{Endless, EndlessServer, kernel_bytes};
 use standin::system::{ServiceShape, System};
 
 /// Status of a request whose body ends too early.
@@ -66,8 +68,8 @@
     vec![handshake.to_vec(), frame]
 }
 
-async fn start() -> System {
-    let mut system = System::start("hostile", vec!["p1"]).expect("the store starts");
+async fn start(name: &str) -> System {
+    let mut system = System::start(name, vec!["p1"]).expect("the store starts");
     let shape = ServiceShape {
         name: "catalogue",
         owner: "rilegatoria",
@@ -126,7 +128,7 @@
 
 #[compio::test]
 async fn hostile_input_is_answered() {
-    let system = start().await;
+    let system = start("hostile").await;
     let node = &system.nodes[0];
     let balancer = Balancer::start(vec![node.addrs]).await;
     for (name, port, parts, expected) in inputs() {
@@ -145,3 +147,105 @@
         assert_eq!(status, 200, "after {name}: {answer}");
     }
 }
+
+/// Largest answer of a leaf with its head, as documented, in bytes.
+const ANSWER_BYTES: usize = 1024 * 1024;
+/// Most that a node reads from a caller or a peer before it closes the connection, in bytes.
+const INPUT_BYTES: usize = 16 * 1024 * 1024;
+/// Identities of leafs in the tests' own maps lie above those of the system's.
+const OWN_LEAF_IDS: u64 = 50_000;
+/// Longest time for a call to a leaf, and for a loaded machine to close its connection.
+const CALL_TIME: Duration = Duration::from_secs(8);
+
+fn interim(_head: &str) -> String {
+    "HTTP/1.1 103 Early Hints\r\n\r\n".to_owned()
+}
+
+fn chunked(_head: &str) -> String {
+    "HTTP/1.1 200 OK\r\nx-index-version: 1\r\nx-partition-map: 1\r\n\
+     transfer-encoding: chunked\r\n\r\n"
+        .to_owned()
+}
+
+/// Leafs that answer without end do not keep callers from whole answers, and are cut.
+#[compio::test]
+async fn endless_leafs_are_cut() {
+    let system = start("endless-leafs").await;
+    let balancer = Balancer::start(system.nodes.iter().map(|n| n.addrs).collect()).await;
+    let servers = [
+        EndlessServer::start(Endless::fast(interim, "HTTP/1.1 103 Early Hints\r\n\r\n")),
+        EndlessServer::start(Endless::fast(chunked, "0")),
+    ];
+    let mut map = system.services[0].map.clone();
+    for (at, server) in servers.iter().enumerate() {
+        map.groups[at][0].leaf = LeafId(OWN_LEAF_IDS + at as u64);
+        map.groups[at][0].addr = server.addr;
+    }
+    system.publish_map(&map).await.expect("the map is written");
+    let started = Instant::now();
+    while servers.iter().any(|server| server.arrivals() == 0) {
+        assert!(started.elapsed() < ANSWER_LIMIT, "the case was not met");
+        let sent = balancer.send("catalogue", "lookup", None, "endband").await;
+        let (status, answer) = sent.expect("a response");
+        assert_eq!(status, 200, "{answer}");
+        assert!(is_own_answer(&answer, "endband"), "{answer}");
+    }
+    for push in servers.iter().flat_map(EndlessServer::wait_until_closed) {
+        assert!(push.bytes <= ANSWER_BYTES + kernel_bytes(), "{push:?}");
+        assert!(push.lasted < CALL_TIME, "{push:?}");
+    }
+}
+
+/// A WebSocket by hand, with the head of a frame that has no end.
+fn long_frame() -> Vec<u8> {
+    let mut bytes = bad_frame()[0].clone();
+    bytes.extend([0x82, 0xff, 0x40, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0]);
+    bytes
+}
+
+/// Input without end on any socket is cut, and the node goes on.
+#[compio::test]
+async fn endless_input_is_cut() {
+    let system = start("endless-input").await;
+    let node = &system.nodes[0];
+    let balancer = Balancer::start(vec![node.addrs]).await;
+    let line = || b"GET / HTTP/1.1\r\nx-long: ".to_vec();
+    let inputs = [
+        ("a head from a caller", node.addrs.callers, line()),
+        (
+            "a body from a caller",
+            node.addrs.callers,
+            post("content-length: 9000000000000000000\r\n", ""),
+        ),
+        ("a head from an operator", node.addrs.admin, line()),
+        ("a head from a peer", node.peer, line()),
+        ("a frame from a peer", node.peer, long_frame()),
+    ];
+    for (name, addr, begin) in inputs {
+        let bytes = push(addr, &begin).unwrap_or_else(|| panic!("{name} is read without end"));
+        assert!(bytes <= INPUT_BYTES + kernel_bytes(), "{name}: {bytes}");
+        let sent = balancer.send("catalogue", "lookup", None, "endband").await;
+        let (status, answer) = sent.expect("a response");
+        assert_eq!(status, 200, "after {name}: {answer}");
+    }
+}
+
+/// Writes without end and returns the bytes that were taken until a write failed, if one did.
+fn push(addr: SocketAddr, begin: &[u8]) -> Option<usize> {
+    let mut stream = TcpStream::connect(addr).expect("the node listens");
+    let timeout = Some(ANSWER_LIMIT);
+    stream.set_write_timeout(timeout).expect("a timeout");
+    let started = Instant::now();
+    let piece = [b'a'; 16 * 1_024];
+    let mut bytes = 0;
+    let mut next = begin;
+    while started.elapsed() < ANSWER_LIMIT {
+        match stream.write(next) {
+            Ok(count) => bytes += count,
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return None,
+            Err(_) => return Some(bytes),
+        }
+        next = &piece;
+    }
+    None
+}
