Learn of changes in time though the store never answers a watch

Callers saw: a change was not in force at any of three nodes 8 s after it was accepted, when the store had swallowed the watches that were waiting and served all other calls. A watch waited 20 s and 3 s more for its answer.

A watch now waits 5 s and 1 s more, and a failed one is followed by a read of 3 s at most, which does not wait. Cost at the target: 360 waiting reads a second in place of 90, of 2,000.

--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -24,13 +24,14 @@
 use crate::client::{AnswerError, Sender, handshake, read_body};
 use crate::event::{Event, EventSender, send};
 
-/// How long a watch waits at the store.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long a watch waits at the store. With [`WATCH_GRACE`] it leaves two of the 8 s within which a
+/// change must be in force everywhere, for a watch that the store never answers.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// Longest time for the answer to a watch beyond its wait.
-const WATCH_GRACE: Duration = Duration::from_secs(3);
+const WATCH_GRACE: Duration = Duration::from_secs(1);
 /// Longest time for a read.
 const READ_LIMIT: Duration = Duration::from_secs(1);
-/// Longest time for a write.
+/// Longest time for a write, and for the read that follows a failed watch.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
 /// Largest answer of the store with its head, in bytes. A value has a megabyte at most.
 const OBJECT_LIMIT: usize = 4 * 1024 * 1024;
@@ -226,6 +227,8 @@
             }
             Err(error) => {
                 log::warn!("watch of '{key}' failed: {error}");
+                // A watch that was lost may have missed a change; a read is answered at once.
+                read_limit = Some(CALL_LIMIT);
                 let wait = rand::rng().random_range(retry / 2..=retry);
                 sleep(Duration::from_millis(wait)).await;
                 retry = (retry * 2).min(RETRY_LIMIT_MILLIS);
--- a/programs/standin/src/store.rs
+++ b/programs/standin/src/store.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,6 +33,8 @@
     pub slow_ms: u64,
     /// Writes that take effect but get no answer.
     pub lose_replies: u32,
+    /// Never answer the watches that wait or arrive, and leave their connections open.
+    pub swallow_watches: bool,
 }
 
 /// `Stats` count the calls.
@@ -54,6 +57,14 @@
     stats: Stats,
 }
 
+impl State {
+    fn wake_watches(&mut self) {
+        for waiting in self.waiting.drain(..) {
+            let _ = waiting.send(());
+        }
+    }
+}
+
 type Shared = Rc<RefCell<State>>;
 
 /// Serves until the process ends; prints the address first.
@@ -81,7 +92,11 @@
             let Ok(faults) = serde_json::from_slice(&body) else {
                 return Some(status(StatusCode::BAD_REQUEST));
             };
-            state.borrow_mut().faults = faults;
+            let mut state = state.borrow_mut();
+            state.faults = faults;
+            if faults.swallow_watches {
+                state.wake_watches();
+            }
             return Some(status(StatusCode::OK));
         }
         "/stats" => return Some(json(&state.borrow().stats)),
@@ -116,6 +131,9 @@
     state.borrow_mut().stats.watches += 1;
     let end = Instant::now() + Duration::from_millis(wait);
     while version(key, state) == after {
+        if state.borrow().faults.swallow_watches {
+            pending::<()>().await;
+        }
         let (sender, receiver) = oneshot::channel();
         state.borrow_mut().waiting.push(sender);
         let left = end.saturating_duration_since(Instant::now());
@@ -145,9 +163,7 @@
     state.revision += 1;
     let version = state.revision;
     state.objects.insert(key.to_owned(), (version, value));
-    for waiting in state.waiting.drain(..) {
-        let _ = waiting.send(());
-    }
+    state.wake_watches();
     if state.faults.lose_replies > 0 {
         state.faults.lose_replies -= 1;
         return None;
--- a/programs/standin/tests/system.rs
+++ b/programs/standin/tests/system.rs
@@ -192,6 +192,42 @@
     system.wait_ready().await.expect("the newcomer joins");
 }
 
+/// Watches that the store has swallowed do not keep a change from being in force in time.
+#[compio::test]
+async fn system_swallowed_watches_change_in_force() {
+    let (system, _) = start("swallow", 3).await.expect("the system starts");
+    system
+        .ctl(&["--wait", "8", "set", "/rilegatoria", "weight", "2"])
+        .expect("in force");
+    for swallow_watches in [true, false] {
+        let faults = Faults {
+            swallow_watches,
+            ..Faults::default()
+        };
+        system.set_store(faults).await.expect("the store is set");
+    }
+    system
+        .ctl(&["--wait", "8", "set", "/rilegatoria", "weight", "3"])
+        .expect("in force");
+}
+
+/// The same when the store swallows all watches for a while.
+#[compio::test]
+async fn system_swallowed_watches_for_long_change_in_force() {
+    let (system, _) = start("swallow-long", 3).await.expect("the system starts");
+    for (swallow_watches, millis) in [(true, 12_000), (false, 0)] {
+        let faults = Faults {
+            swallow_watches,
+            ..Faults::default()
+        };
+        system.set_store(faults).await.expect("the store is set");
+        sleep(millis).await;
+    }
+    system
+        .ctl(&["--wait", "8", "set", "/rilegatoria", "weight", "3"])
+        .expect("in force");
+}
+
 #[compio::test]
 async fn system_lost_reply_change_applied_once() {
     let (system, _) = start("reply", 3).await.expect("the system starts");
