--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -113,6 +113,10 @@
             LeafEnd::Failed => (Verdict::Good(service), CallEnd::Unknown(Doubt::LeafError)),
             LeafEnd::NoConnection => (Verdict::Unreachable, CallEnd::NotRun(Refusal::Unreachable)),
             LeafEnd::Broken => (Verdict::Broken, CallEnd::Unknown(Doubt::ConnectionLost)),
+            LeafEnd::TooLarge => {
+                cx.counts.too_large += 1;
+                (Verdict::Broken, CallEnd::Unknown(Doubt::ConnectionLost))
+            }
         };
         if let Some(gate) = self.gates.get_mut(&running.leaf) {
             gate.finish(verdict, now);
