Pause after refusals, and one place in the line for each shard

Callers saw: queries that left shards out or failed although a leaf was at work on them. Cause: when all leafs of a shard had refused, the end of the refused call gave the shard a leaf at once instead of after its pause, which spent two repeats within a millisecond; its earlier place in the line stayed, and the second refusal gave the shard up while a call was under way.

Both new tests in serve.rs failed before and pass now.

--- a/crates/edge/src/edge/launch.rs
+++ b/crates/edge/src/edge/launch.rs
@@ -173,12 +173,13 @@
         };
         let shard = &mut job.shards[at];
         shard.look_at = look_at;
-        if shard.waiting {
-            return;
-        }
         shard.waiting = true;
         let line = self.waiters.entry(shard.service.clone()).or_default();
-        line.push(waiter);
+        // A shard that waits again may still have its earlier place in the line.
+        let is_listed = line.iter().any(|w| (w.token, w.shard) == (token, at));
+        if !is_listed {
+            line.push(waiter);
+        }
     }
 
     /// Gives a leaf that has become free to the most urgent of the oldest waiting shards.
@@ -192,8 +193,9 @@
             shard.is_some_and(|shard| shard.is_open() && shard.waiting)
         });
         line.sort_by_key(|waiter| (waiter.priority, waiter.began));
-        let waiters = line.clone();
-        if waiters.is_empty() {
+        let may_go = |waiter: &Waiter| jobs[&waiter.token].shards[waiter.shard].earliest <= now;
+        let waiters: Vec<Waiter> = line.iter().copied().filter(may_go).collect();
+        if line.is_empty() {
             self.waiters.remove(service);
         }
         for waiter in waiters {
--- a/crates/edge/src/edge/outcome.rs
+++ b/crates/edge/src/edge/outcome.rs
@@ -148,6 +148,7 @@
             // All leafs refused; one may have room a moment later.
             shard.tried.clear();
             let pause = REFUSED_WAIT * u32::try_from(shard.tries).unwrap_or(1);
+            shard.earliest = now + pause;
             self.wait(token, at, now + pause);
             return;
         }
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -59,6 +59,8 @@
     pub(crate) arrived: bool,
     /// Whether it waits for a leaf.
     pub(crate) waiting: bool,
+    /// Not to be called before, since all leafs have refused.
+    pub(crate) earliest: Time,
     /// When the latest call was sent.
     pub(crate) sent_at: Time,
     /// When it is looked at again: to hedge, or to ask for a leaf.
@@ -81,6 +83,7 @@
             tries: 0,
             arrived: false,
             waiting: false,
+            earliest: now,
             sent_at: now,
             look_at: Time::MAX,
             response: None,
--- a/crates/edge/tests/common/farm.rs
+++ b/crates/edge/tests/common/farm.rs
@@ -1,4 +1,4 @@
-//! Leafs with slots, queues and pauses in virtual time, and callers in front of one node.
+//! Leafs with slots, queues and pauses in virtual time, and callers in front of nodes that share them.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
@@ -16,6 +16,24 @@
 /// One way between node and leaf.
 const WAY: Duration = Duration::from_micros(500);
 
+/// A call of one of the nodes.
+type NodeCall = (usize, CallId);
+
+/// `Mode` says what a leaf does with calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mode {
+    /// Runs them.
+    Serves,
+    /// Takes them and never answers.
+    Dark,
+    /// States that it does not run them.
+    Refuses,
+    /// States of this share of the calls that it does not run them.
+    Sheds(f64),
+    /// Accepts no connection.
+    Gone,
+}
+
 /// `Leafs` says how all leafs behave.
 #[derive(Clone, Copy, Debug)]
 pub struct Leafs {
@@ -29,18 +47,20 @@
 
 struct Leaf {
     running: usize,
-    queue: VecDeque<CallId>,
+    queue: VecDeque<NodeCall>,
     /// Shift of its pauses.
     phase: Duration,
     /// Factor on its work.
     slow: f64,
-    is_dark: bool,
+    mode: Mode,
 }
 
 /// What became of the requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tally {
     pub asked: usize,
+    /// Answered within the objective.
+    pub in_time: usize,
     /// Answered within the objective, weighted by the square of the coverage.
     pub credit: f64,
     pub late: usize,
@@ -50,21 +70,22 @@
     pub slowest_rejection: Duration,
 }
 
-/// `Farm` plays callers against a node and its leafs.
+/// `Farm` plays callers against nodes and their leafs.
 pub struct Farm {
-    pub node: Node,
+    pub nodes: Vec<Node>,
     behaviour: Leafs,
     leafs: HashMap<String, Leaf>,
     /// Calls at leafs: leaf by call.
-    at: HashMap<CallId, String>,
+    at: HashMap<NodeCall, String>,
     /// Arrivals of calls at leafs and ends of calls.
-    events: BinaryHeap<Reverse<(Time, bool, CallId)>>,
-    asked: BTreeMap<Token, (String, Duration)>,
+    events: BinaryHeap<Reverse<(Time, bool, NodeCall)>>,
+    asked: BTreeMap<(usize, Token), (String, Duration)>,
     rng: SmallRng,
 }
 
 impl Farm {
-    pub fn new(node: Node, entries: &[LeafEntry], behaviour: Leafs, seed: u64) -> Self {
+    /// Creates a farm. The nodes know all leafs and have the same clock.
+    pub fn new(nodes: Vec<Node>, entries: &[LeafEntry], behaviour: Leafs, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let leafs = entries.iter().map(|entry| {
             let leaf = Leaf {
@@ -72,13 +93,13 @@
                 queue: VecDeque::new(),
                 phase: behaviour.pause.1.mul_f64(rng.random_range(0.0..1.0)),
                 slow: 1.0,
-                is_dark: false,
+                mode: Mode::Serves,
             };
             (entry.name.to_string(), leaf)
         });
         let leafs = leafs.collect();
         Self {
-            node,
+            nodes,
             behaviour,
             leafs,
             at: HashMap::new(),
@@ -93,21 +114,28 @@
         self.leafs.get_mut(name).expect("a leaf").slow = factor;
     }
 
-    /// Lets a leaf take calls and never answer.
-    pub fn darken(&mut self, name: &str) {
-        self.leafs.get_mut(name).expect("a leaf").is_dark = true;
+    /// Changes what a leaf does with calls.
+    pub fn set_mode(&mut self, name: &str, mode: Mode) {
+        self.leafs.get_mut(name).expect("a leaf").mode = mode;
+    }
+
+    /// Returns the time, the same at all nodes.
+    pub fn now(&self) -> Time {
+        self.nodes[0].now
     }
 
     /// Sends `per_second` requests a second on a route, at random times, for `span`.
     pub fn play(&mut self, route: &str, objective: Duration, per_second: f64, span: Duration) {
-        let end = self.node.now + span;
+        let end = self.now() + span;
         let chance = per_second * STEP.as_secs_f64();
-        while self.node.now < end {
+        while self.now() < end {
             let mut due = chance;
             while due > 0.0 {
                 if self.rng.random_bool(due.min(1.0)) {
-                    let token = self.node.request_within(route, objective * 10);
-                    self.asked.insert(token, (route.to_owned(), objective));
+                    let at = self.rng.random_range(0..self.nodes.len());
+                    let token = self.nodes[at].request_within(route, objective * 10);
+                    self.asked
+                        .insert((at, token), (route.to_owned(), objective));
                 }
                 due -= 1.0;
             }
@@ -117,18 +145,21 @@
 
     /// Lets what is under way come to its end, and tells what became of the requests of a route.
     pub fn finish(&mut self, route: &str) -> Tally {
-        let end = self.node.now + Duration::from_secs(10);
-        while self.node.edge.open_requests() > 0 && self.node.now < end {
+        let end = self.now() + Duration::from_secs(10);
+        let is_open = |node: &Node| node.edge.open_requests() > 0;
+        while self.nodes.iter().any(is_open) && self.now() < end {
             self.advance();
         }
         let mut tally = Tally::default();
-        for (token, (asked, objective)) in &self.asked {
+        for ((at, token), (asked, objective)) in &self.asked {
             if asked != route {
                 continue;
             }
             tally.asked += 1;
-            let (reply, summary) = &self.node.replies[token];
+            let (reply, summary) = &self.nodes[*at].replies[token];
             let in_time = summary.elapsed <= *objective;
+            let is_answer = matches!(reply, Reply::Merged { .. } | Reply::Answer(_));
+            tally.in_time += usize::from(in_time && is_answer);
             match reply {
                 Reply::Merged {
                     stamps, missing, ..
@@ -150,7 +181,7 @@
 
     fn advance(&mut self) {
         self.take_up_calls();
-        let until = self.node.now + STEP;
+        let until = self.now() + STEP;
         while let Some(Reverse((at, is_end, call))) = self.events.peek().copied()
             && at <= until
         {
@@ -161,30 +192,36 @@
                 self.arrive(call, at);
             }
         }
-        self.node.pass(STEP);
+        for node in &mut self.nodes {
+            node.pass(STEP);
+        }
         self.take_up_calls();
     }
 
     fn take_up_calls(&mut self) {
-        let new: Vec<(CallId, String)> = self
-            .node
-            .calls
-            .iter()
-            .filter(|call| !self.at.contains_key(&call.call))
-            .map(|call| (call.call, call.instance.to_string()))
-            .collect();
-        for (call, leaf) in new {
-            self.at.insert(call, leaf);
-            self.events
-                .push(Reverse((self.node.now + WAY, false, call)));
+        for (at, node) in self.nodes.iter().enumerate() {
+            for call in &node.calls {
+                let id = (at, call.call);
+                if self.at.contains_key(&id) {
+                    continue;
+                }
+                self.at.insert(id, call.instance.to_string());
+                self.events.push(Reverse((node.now + WAY, false, id)));
+            }
         }
     }
 
-    fn arrive(&mut self, call: CallId, now: Time) {
+    fn arrive(&mut self, call: NodeCall, now: Time) {
         let behaviour = self.behaviour;
         let leaf = self.leafs.get_mut(&self.at[&call]).expect("a leaf");
-        if leaf.is_dark {
-            return;
+        match leaf.mode {
+            Mode::Sheds(share) if self.rng.random_bool(share) => {
+                return self.nodes[call.0].end(call.1, CallEnd::Refused);
+            }
+            Mode::Serves | Mode::Sheds(_) => {}
+            Mode::Dark => return,
+            Mode::Refuses => return self.nodes[call.0].end(call.1, CallEnd::Refused),
+            Mode::Gone => return self.nodes[call.0].end(call.1, CallEnd::Unsent),
         }
         if leaf.running < behaviour.slots {
             leaf.running += 1;
@@ -193,13 +230,17 @@
         } else if leaf.queue.len() < behaviour.queue {
             leaf.queue.push_back(call);
         } else {
-            self.node.end(call, CallEnd::Refused);
+            self.nodes[call.0].end(call.1, CallEnd::Refused);
         }
     }
 
-    fn end(&mut self, call: CallId, now: Time) {
+    fn end(&mut self, call: NodeCall, now: Time) {
         let behaviour = self.behaviour;
         let leaf = self.leafs.get_mut(&self.at[&call]).expect("a leaf");
+        // Calls whose connection was closed while they waited are dropped.
+        let nodes = &self.nodes;
+        leaf.queue
+            .retain(|(at, id)| !nodes[*at].abandoned.contains(id));
         match leaf.queue.pop_front() {
             Some(next) => {
                 let end = work(leaf, &behaviour, now, &mut self.rng);
@@ -207,7 +248,7 @@
             }
             None => leaf.running -= 1,
         }
-        self.node.end(call, good(&call.0.to_string()));
+        self.nodes[call.0].end(call.1, good(&call.1.0.to_string()));
     }
 }
 
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -131,6 +131,11 @@
             repeat_slack: 50.0,
             ..EdgeSettings::default()
         };
+        Self::with_settings(settings, config, leafs)
+    }
+
+    /// Creates a node with settings, a configuration and leafs.
+    pub fn with_settings(settings: EdgeSettings, config: Config, leafs: Vec<LeafEntry>) -> Self {
         let mut node = Self {
             edge: Edge::new(settings),
             now: Time::from_millis(1_000),
--- a/crates/edge/tests/load.rs
+++ b/crates/edge/tests/load.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use common::farm::{Farm, Leafs, Tally};
+use common::farm::{Farm, Leafs, Mode, Tally};
 use common::{Node, config, fan_out, leaf, shard};
 use monsoondeal_edge::LeafEntry;
 use rstest::rstest;
@@ -32,7 +32,7 @@
     less_urgent.priority = 5;
     let routes = vec![fan_out("q", SHARDS, 0.89), less_urgent];
     let node = Node::new(config(1, routes, 30), entries.clone());
-    Farm::new(node, &entries, behaviour, seed)
+    Farm::new(vec![node], &entries, behaviour, seed)
 }
 
 fn share(tally: &Tally) -> f64 {
@@ -50,7 +50,7 @@
     farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(20));
     let tally = farm.finish("q");
     assert!(share(&tally) >= 0.97, "{tally:?}");
-    let counts = farm.node.edge.counts();
+    let counts = farm.nodes[0].edge.counts();
     let extra = counts.hedges as f64 / counts.calls as f64;
     assert!(extra <= 0.08, "extra calls {extra}");
 }
@@ -78,7 +78,7 @@
     let mut farm = farm(LEAFS, seed);
     farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(3));
     for at in 0..5 {
-        farm.darken(&format!("{}-b", shard(at)));
+        farm.set_mode(&format!("{}-b", shard(at)), Mode::Dark);
     }
     farm.play("q", OBJECTIVE, 60.0, Duration::from_secs(10));
     let tally = farm.finish("q");
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -194,6 +194,33 @@
     assert!(summary.elapsed < Duration::from_millis(200), "{summary:?}");
 }
 
+/// The only leaf is full: it is asked again after a pause, not in the next moment.
+#[test]
+fn refused_by_the_only_leaf_waits() {
+    let route = single("r", "s", Repeat::Idempotent);
+    let mut node = Node::new(config(1, vec![route], 6), vec![leaf("one", "s")]);
+    node.request("r");
+    node.end(node.calls[0].call, CallEnd::Refused);
+    assert!(node.calls.is_empty(), "asked again at once");
+    node.pass(Duration::from_millis(20));
+    assert_eq!(node.calls.len(), 1);
+}
+
+/// A leaf that refused twice and then takes the call serves the request.
+#[test]
+fn refused_twice_is_served() {
+    let route = single("r", "s", Repeat::Idempotent);
+    let mut node = Node::new(config(1, vec![route], 6), vec![leaf("one", "s")]);
+    let token = node.request("r");
+    for _ in 0..2 {
+        node.end(node.calls[0].call, CallEnd::Refused);
+        node.pass(Duration::from_millis(50));
+    }
+    assert_eq!(node.calls.len(), 1);
+    node.serve_except(|_| false);
+    assert!(matches!(node.reply(token), Some(Reply::Answer(_))));
+}
+
 #[rstest]
 #[case::lost(CallEnd::Broken)]
 #[case::leaf_failed(failure())]
