--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -116,6 +116,22 @@
     );
 }
 
+/// A reader that hears of the store each second keeps its followers.
+#[test]
+fn follower_stays_with_a_reader_that_has_signs_of_life() {
+    let fleet = fleet();
+    let readers = [start_reader(&fleet, 0), start_reader(&fleet, 1)];
+    let follower = start(&fleet, 5);
+    follower.wait_until_ready();
+    for _ in 0..10 {
+        thread::sleep(Duration::from_millis(500));
+        for reader in &readers {
+            reader.tell(|| vec![Update::Contact(true)]);
+        }
+    }
+    assert_eq!(follower.readings(), [], "it leaves the store alone");
+}
+
 /// A reader that hears nothing of the store for some seconds is not relied on, though no call has failed.
 #[test]
 fn follower_leaves_a_reader_without_signs_of_life() {
