Tell misdirected calls and charged retries apart in logs and metrics

A call that another leaf answered at the address (421) counted as refused, like one that a full leaf refused; no line named the address, and none said which retry was charged to the budget. The logic is as it was.

--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -158,6 +158,8 @@
         service: Name,
         /// How the first call ended.
         cause: &'static str,
+        /// Whether a call has arrived before, so that this one is charged to the budget.
+        is_repeat: bool,
     },
     /// A shard is given up.
     Lost {
--- a/crates/edge/src/edge/look.rs
+++ b/crates/edge/src/edge/look.rs
@@ -95,8 +95,7 @@
         let Some(leaf) = self.pick(&sound, &service, now) else {
             return;
         };
-        let callers = self.callers(&service);
-        if !self.shares.try_repeat(&service, callers, now) {
+        if !self.may_repeat(&service, now) {
             return;
         }
         if let Some(job) = self.jobs.get_mut(&token) {
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -86,8 +86,15 @@
     pub hedges: u64,
     /// Retried calls among them.
     pub retries: u64,
+    /// Calls sent beyond the first one that may have reached a leaf, hedged or retried. They are charged to
+    /// the budget of their service.
+    pub repeats: u64,
+    /// Repeats that the budget did not allow.
+    pub denied: u64,
     /// Calls that leafs refused.
     pub refused: u64,
+    /// Calls that reached another leaf than the one that they were meant for.
+    pub misdirected: u64,
     /// Calls whose answer was lost or unusable.
     pub broken: u64,
     /// Calls that could not be sent.
--- a/crates/edge/src/edge/outcome.rs
+++ b/crates/edge/src/edge/outcome.rs
@@ -10,6 +10,7 @@
 use crate::action::{Action, CallEnd, Note, Token};
 use crate::admit::Sign;
 use crate::choice::Verdict;
+use crate::config::Name;
 use crate::job::ShardState;
 use crate::segment::is_segment;
 
@@ -86,12 +87,18 @@
                 shard.failure = Some(answer);
                 "failed"
             }
-            CallEnd::Refused | CallEnd::Misdirected => {
+            CallEnd::Refused => {
                 shard.arrived = true;
                 shard.runs -= 1;
                 job.refused += 1;
                 "refused"
             }
+            CallEnd::Misdirected => {
+                shard.arrived = true;
+                shard.runs -= 1;
+                job.refused += 1;
+                "misdirected"
+            }
             CallEnd::Unsent => {
                 shard.runs -= 1;
                 "unsent"
@@ -126,17 +133,19 @@
         out: &mut Vec<Action>,
     ) {
         let (token, at) = (call.token, call.shard);
-        let callers = self.callers(&call.service);
-        let Some(job) = self.jobs.get_mut(&token) else {
+        let Some(job) = self.jobs.get(&token) else {
             return;
         };
-        let shard = &mut job.shards[at];
         // A segment that was refused has reached no leaf.
-        let is_repeat = shard.arrived && !is_segment(&call.service);
-        if is_repeat && !self.shares.try_repeat(&call.service, callers, now) {
+        let is_repeat = job.shards[at].arrived && !is_segment(&call.service);
+        if is_repeat && !self.may_repeat(&call.service, now) {
             self.lose(token, at, "no budget for a retry", out);
             return;
         }
+        let Some(job) = self.jobs.get_mut(&token) else {
+            return;
+        };
+        let shard = &mut job.shards[at];
         job.retries += 1;
         self.counts.retries += 1;
         out.push(Action::Note(
@@ -144,6 +153,7 @@
             Note::Retried {
                 service: call.service.clone(),
                 cause,
+                is_repeat,
             },
         ));
         let usable = self.directory.usable(&call.service);
@@ -159,6 +169,18 @@
         self.launch(token, at, now, out);
     }
 
+    /// Attempts to take the permission to repeat a call to a service.
+    pub(super) fn may_repeat(&mut self, service: &Name, now: Time) -> bool {
+        let callers = self.callers(service);
+        let is_allowed = self.shares.try_repeat(service, callers, now);
+        if is_allowed {
+            self.counts.repeats += 1;
+        } else {
+            self.counts.denied += 1;
+        }
+        is_allowed
+    }
+
     pub(super) fn lose(
         &mut self,
         token: Token,
@@ -232,7 +254,8 @@
     pub(super) fn count_end(&mut self, end: &CallEnd) {
         match end {
             CallEnd::Answer(_) => {}
-            CallEnd::Refused | CallEnd::Misdirected => self.counts.refused += 1,
+            CallEnd::Refused => self.counts.refused += 1,
+            CallEnd::Misdirected => self.counts.misdirected += 1,
             CallEnd::Unsent => self.counts.unsent += 1,
             CallEnd::Broken | CallEnd::TooLarge => self.counts.broken += 1,
         }
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -21,7 +21,7 @@
 ];
 
 /// All counters.
-pub(crate) const COUNTERS: [Counter<Figures>; 14] = [
+pub(crate) const COUNTERS: [Counter<Figures>; 17] = [
     ("requests", "Requests of callers", |f| f.counts.requests),
     ("answered", "Requests answered in full", |f| {
         f.counts.answered
@@ -45,7 +45,20 @@
     ("calls", "Calls sent to leafs", |f| f.counts.calls),
     ("hedges", "Hedged calls among them", |f| f.counts.hedges),
     ("retries", "Retried calls among them", |f| f.counts.retries),
+    (
+        "repeats",
+        "Calls beyond the first that may have reached a leaf",
+        |f| f.counts.repeats,
+    ),
+    ("denied", "Repeats that the budget did not allow", |f| {
+        f.counts.denied
+    }),
     ("refused", "Calls that leafs refused", |f| f.counts.refused),
+    (
+        "misdirected",
+        "Calls that another leaf answered than the one meant",
+        |f| f.counts.misdirected,
+    ),
     ("broken", "Calls whose answer was lost or unusable", |f| {
         f.counts.broken
     }),
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -13,7 +13,7 @@
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use monsoondeal_core::{CallId, Clock, LeafId, Time};
-use monsoondeal_edge::{Action, Edge, Inquiry, Removal, Reply, Send, Summary, Token};
+use monsoondeal_edge::{Action, CallEnd, Edge, Inquiry, Removal, Reply, Send, Summary, Token};
 
 use monsoondeal_node::metrics::Metrics;
 use monsoondeal_node::signals::SignalReceiver;
@@ -139,6 +139,14 @@
     sender: oneshot::Sender<Reply>,
 }
 
+/// A call under way.
+struct Carried {
+    leaf: LeafId,
+    inbound: Rc<Inbound>,
+    /// Dropping it closes the call's connection.
+    _task: JoinHandle<()>,
+}
+
 struct Hub {
     edge: Edge,
     clock: Clock,
@@ -151,8 +159,7 @@
     requests: HashMap<Token, Caller>,
     /// When the configuration was last known to be the newest one.
     config_seen: Option<Time>,
-    /// Calls under way. Dropping a task closes the call's connection.
-    calls: HashMap<CallId, (LeafId, JoinHandle<()>)>,
+    calls: HashMap<CallId, Carried>,
     /// Connections without a call, by leaf; the one used last stands last.
     idle: HashMap<LeafId, Vec<Connection>>,
     stages: StopSettings,
@@ -208,10 +215,11 @@
                 self.step(|edge, now, out| edge.caller_gone(token, now, out));
             }
             Event::CallEnded(call, end, connection) => {
-                if let Some((leaf, _)) = self.calls.remove(&call)
-                    && let Some(connection) = connection
-                {
-                    self.keep(leaf, connection);
+                if let Some(carried) = self.calls.remove(&call) {
+                    self.note_end(&carried, &end);
+                    if let Some(connection) = connection {
+                        self.keep(carried.leaf, connection);
+                    }
                 }
                 self.step(|edge, now, out| edge.call_ended(call, end, now, out));
             }
@@ -382,14 +390,30 @@
             let at = list.iter().rposition(|c| c.is_usable(call.once))?;
             Some(list.remove(at))
         });
+        let inbound = caller.inbound.clone();
         let task = leafs::carry(
             idle,
             call,
-            caller.inbound.clone(),
+            inbound.clone(),
             self.names.clone(),
             self.events.clone(),
         );
-        self.calls.insert(id, (leaf, spawn(task)));
+        let carried = Carried {
+            leaf,
+            inbound,
+            _task: spawn(task),
+        };
+        self.calls.insert(id, carried);
+    }
+
+    /// Logs the end of a call if it tells of more than its request.
+    fn note_end(&mut self, carried: &Carried, end: &CallEnd) {
+        if let CallEnd::Misdirected = end
+            && let Some(meant) = self.edge.directory().entry(carried.leaf)
+        {
+            let id = String::from_utf8_lossy(&carried.inbound.id);
+            self.logs.misdirected(&id, meant);
+        }
     }
 
     fn keep(&mut self, leaf: LeafId, connection: Connection) {
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use monsoondeal_edge::{Note, Reply, Summary};
+use monsoondeal_edge::{LeafEntry, Note, Reply, Summary};
 
 /// Most lines about requests in one span.
 const LINES: u32 = 400;
@@ -85,14 +85,29 @@
                 let micros = after.as_micros() as u64;
                 log::info!(id, service:% = service, leaf:% = leaf, micros; "call hedged");
             }
-            Note::Retried { service, cause } => {
-                log::info!(id, service:% = service, cause; "call retried");
+            Note::Retried {
+                service,
+                cause,
+                is_repeat,
+            } => {
+                log::info!(id, service:% = service, cause, repeat = is_repeat; "call retried");
             }
             Note::Lost { service, cause } => {
                 log::info!(id, service:% = service, cause; "shard lost");
             }
         }
     }
+
+    /// Writes that another leaf answered at the address of the one that a call was meant for.
+    pub(crate) fn misdirected(&mut self, id: &str, meant: &LeafEntry) {
+        if !self.admit() {
+            return;
+        }
+        log::info!(
+            id, service:% = meant.service, leaf:% = meant.name, addr:% = meant.addr;
+            "call misdirected"
+        );
+    }
 }
 
 /// Returns a span in milliseconds, or -1 for none.
