--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -60,7 +60,7 @@
 }
 
 /// Reads up to the end of a request's head. Requests in these tests have no body.
-fn read_head(stream: &mut TcpStream) -> Option<String> {
+pub fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
