Send no call on a new connection before the leaf has told its name

Cause: an address was taken for a leaf. A new connection carried a call at once, and an answer 421 only counted against that one call; nothing kept the next one from the same address.

Now: a leaf that has not answered a call within half of the time after which addresses are used again is asked for its name on each new connection, at its health path, before a call is sent there. Any other one is left alone for 5 s, or until the registry tells of a new incarnation. A call that was not sent costs no budget. So no call can arrive at another service: a connection belongs to one leaf, and that leaf has told its name on it or was alive too short a time ago to have lost its address. A check counts as a request to a cold leaf.

--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -65,6 +65,10 @@
     Misdirected,
     /// Nothing of the call was written.
     Unsent,
+    /// Nothing of the call was written: who accepted the connection did not tell its name in time.
+    Unchecked,
+    /// Nothing of the call was written: another leaf has the address.
+    Displaced,
     /// The call may have run, and its answer is lost or unusable.
     Broken,
     /// The call may have run, and its answer went over the limit.
@@ -86,6 +90,11 @@
     pub addr: SocketAddr,
     /// How long the leaf may work on it.
     pub budget: Duration,
+    /// Path at which the leaf tells its name; `None` if it cannot be asked.
+    pub check_path: Option<Name>,
+    /// The leaf was heard of so lately that no other one can have its address. Otherwise a new connection
+    /// must not carry the call until the leaf has told its name on it.
+    pub is_proved: bool,
     /// The call may run at most once: it must not be put on a connection that has been idle for long.
     pub once: bool,
     /// Set if the call goes to a node, for a segment of the query.
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -70,6 +70,9 @@
     pub cold_rate: Option<f64>,
     /// How long a leaf stays cold after its start.
     pub warmup: Duration,
+    /// Path at which a leaf tells its name; `None` if it cannot be asked.
+    #[serde(default)]
+    pub check_path: Option<Name>,
 }
 
 /// `Limits` bound what a caller may send.
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -21,6 +21,9 @@
 /// Least number of entries that vanish together for the registry to be doubted.
 const DOUBT_LEAST: usize = 4;
 
+/// How long a leaf is not called after another one was found at its address.
+const DISPLACED_HOLD: Duration = Duration::from_secs(5);
+
 /// `LeafEntry` is what a leaf says of itself in the registry.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct LeafEntry {
@@ -52,6 +55,10 @@
     pub(crate) cold_until: Time,
     /// Its entry vanished in doubt; it is dropped then unless the entry returns.
     pub(crate) drop_at: Option<Time>,
+    /// When the latest call was sent that it has answered. It was alive then.
+    heard_at: Option<Time>,
+    /// Another leaf was found at its address; it is not called until then.
+    displaced_until: Option<Time>,
 }
 
 /// `Removal` tells what became of a leaf whose entry vanished.
@@ -110,6 +117,8 @@
         let leaf = Leaf {
             cold_until: now + entry.warmup,
             drop_at: None,
+            heard_at: None,
+            displaced_until: None,
             entry,
         };
         self.leafs.insert(id, leaf);
@@ -170,8 +179,40 @@
         self.closed_domains = domains;
     }
 
-    /// Drops leafs whose entries did not return in time.
+    /// Notes that a leaf has answered a call that was sent at `sent_at`.
+    pub fn heard(&mut self, id: LeafId, sent_at: Time) {
+        if let Some(leaf) = self.leafs.get_mut(&id) {
+            leaf.heard_at = leaf.heard_at.max(Some(sent_at));
+        }
+    }
+
+    /// Notes that a connection to a leaf was lost or could not be opened: it may have ended.
+    pub fn suspect(&mut self, id: LeafId) {
+        if let Some(leaf) = self.leafs.get_mut(&id) {
+            leaf.heard_at = None;
+        }
+    }
+
+    /// Notes that another leaf was found at the address of this one.
+    pub fn displace(&mut self, id: LeafId, now: Time) {
+        if let Some(leaf) = self.leafs.get_mut(&id) {
+            leaf.heard_at = None;
+            leaf.displaced_until = Some(now + DISPLACED_HOLD);
+        }
+    }
+
+    /// Returns whether a leaf was alive within the last `span`.
+    pub fn was_heard(&self, id: LeafId, span: Duration, now: Time) -> bool {
+        let heard_at = self.leafs.get(&id).and_then(|leaf| leaf.heard_at);
+        heard_at.is_some_and(|at| now.since(at) < span)
+    }
+
+    /// Drops leafs whose entries did not return in time, and allows calls to displaced ones whose time has
+    /// passed.
     pub fn expire(&mut self, now: Time) -> Vec<LeafId> {
+        for leaf in self.leafs.values_mut() {
+            leaf.displaced_until = leaf.displaced_until.filter(|until| *until > now);
+        }
         let due = |leaf: &Leaf| leaf.drop_at.is_some_and(|at| at <= now);
         let gone: Vec<LeafId> = self
             .leafs
@@ -185,9 +226,10 @@
         gone
     }
 
-    /// Returns when the next leaf is dropped unless its entry returns.
+    /// Returns when [`Directory::expire`] has something to do.
     pub fn next_expiry(&self) -> Option<Time> {
-        self.leafs.values().filter_map(|leaf| leaf.drop_at).min()
+        let times = |leaf: &Leaf| [leaf.drop_at, leaf.displaced_until];
+        self.leafs.values().flat_map(times).flatten().min()
     }
 
     /// Drops the nodes that serve segments, and returns them.
@@ -219,7 +261,9 @@
     /// Returns whether a leaf may get new work.
     pub fn is_usable(&self, id: LeafId) -> bool {
         self.leafs.get(&id).is_some_and(|leaf| {
-            !leaf.entry.draining && !self.closed_domains.contains(&leaf.entry.domain)
+            !leaf.entry.draining
+                && leaf.displaced_until.is_none()
+                && !self.closed_domains.contains(&leaf.entry.domain)
         })
     }
 
--- a/crates/edge/src/edge/launch.rs
+++ b/crates/edge/src/edge/launch.rs
@@ -16,6 +16,9 @@
 const FALLBACK_CONNECTIONS: usize = 8;
 /// Most calls under way at one node that serves a segment.
 const PEER_CALLS: usize = 64;
+/// Part of the time until an address may belong to another leaf within which a leaf that was heard of
+/// needs no check. The rest covers the time to open a connection and how late this node may run.
+const PROVED_PART: f64 = 0.5;
 /// Time between two looks at a shard that waits for a leaf.
 const WAIT_LOOK: Duration = Duration::from_millis(20);
 
@@ -56,8 +59,14 @@
             || self.cold_next.get(&id).is_none_or(|next| *next <= now)
     }
 
-    /// Counts a call to a leaf that may be cold.
-    pub(super) fn note_cold(&mut self, id: LeafId, service: &str, now: Time) {
+    /// Returns whether a leaf was heard of so lately that no other one can have its address.
+    fn is_proved(&self, id: LeafId, now: Time) -> bool {
+        let span = self.settings.address_reuse.mul_f64(PROVED_PART);
+        self.directory.was_heard(id, span, now)
+    }
+
+    /// Counts requests that are sent to a leaf that may be cold.
+    fn note_cold(&mut self, id: LeafId, service: &str, requests: u32, now: Time) {
         let rate = self.service_spec(service).and_then(|spec| spec.cold_rate);
         let Some(rate) = rate else { return };
         if !self.directory.is_cold(id, now) {
@@ -65,8 +74,8 @@
             return;
         }
         let share = (rate * self.settings.cold_factor / self.shares.nodes() as f64).max(0.01);
-        self.cold_next
-            .insert(id, now + Duration::from_secs_f64(1.0 / share));
+        let pause = Duration::from_secs_f64(1.0 / share) * requests;
+        self.cold_next.insert(id, now + pause);
     }
 
     /// Sends a call for a shard, or lets it wait for a leaf.
@@ -111,6 +120,7 @@
         now: Time,
         out: &mut Vec<Action>,
     ) {
+        let is_proved = self.is_proved(leaf, now);
         let (Some(job), Some(entry)) = (self.jobs.get_mut(&token), self.directory.entry(leaf))
         else {
             return;
@@ -127,6 +137,13 @@
         shard.sent_at = now;
         shard.look_at = now + pace.overdue();
         let service = shard.service.clone();
+        let spec = self.config.as_ref().and_then(|c| c.services.get(&service));
+        let check_path = spec.and_then(|spec| spec.check_path.clone());
+        let requests = if is_proved || check_path.is_none() {
+            1
+        } else {
+            2
+        };
         let segment = job.digest.map(|digest| SegmentCall {
             index: at,
             count: job.shards.len(),
@@ -140,6 +157,8 @@
             instance: entry.name.clone(),
             addr: entry.addr,
             budget: job.deadline.since(now),
+            check_path,
+            is_proved,
             once: !job.is_idempotent(),
             segment,
         }));
@@ -157,7 +176,7 @@
                 is_overdue: false,
             },
         );
-        self.note_cold(leaf, &service, now);
+        self.note_cold(leaf, &service, requests, now);
     }
 
     /// Puts a shard in line for a leaf, and looks at it again at `look_at`.
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -42,6 +42,8 @@
     pub repeat_slack: f64,
     /// Factor on the rate that a cold leaf bears.
     pub cold_factor: f64,
+    /// Least time from the end of a leaf until another one may have its address.
+    pub address_reuse: Duration,
     /// Processor share of the node, in cores.
     pub cores: f64,
     /// Seed of the choice between alike leafs.
@@ -55,6 +57,7 @@
             repeat_ratio: 0.1,
             repeat_slack: 10.0,
             cold_factor: 1.0,
+            address_reuse: Duration::from_secs(2),
             cores: 1.0,
             seed: 1,
         }
@@ -99,6 +102,10 @@
     pub broken: u64,
     /// Calls that could not be sent.
     pub unsent: u64,
+    /// Calls that were not sent since the leaf did not tell its name in time.
+    pub unchecked: u64,
+    /// Calls that were not sent since another leaf has the address.
+    pub displaced: u64,
 }
 
 /// A call under way.
--- a/crates/edge/src/edge/outcome.rs
+++ b/crates/edge/src/edge/outcome.rs
@@ -28,6 +28,7 @@
         let response = now.since(call.sent_at);
         self.count_end(&end);
         self.note_move(&call, &end, response);
+        self.note_life(&call, &end, now);
         let verdict = self.judge(&call, &end, response, now);
         self.choice.ended(call.leaf, verdict, call.is_overdue, now);
         if let Some(job) = self.jobs.get_mut(&call.token) {
@@ -103,6 +104,14 @@
                 shard.runs -= 1;
                 "unsent"
             }
+            CallEnd::Unchecked => {
+                shard.runs -= 1;
+                "unchecked"
+            }
+            CallEnd::Displaced => {
+                shard.runs -= 1;
+                "displaced"
+            }
             CallEnd::Broken => {
                 shard.arrived = true;
                 "broken"
@@ -230,8 +239,22 @@
             }
             CallEnd::Answer(_) => Verdict::Failed,
             CallEnd::Refused => Verdict::Refused,
-            CallEnd::Misdirected | CallEnd::Unsent | CallEnd::Broken | CallEnd::TooLarge => {
-                Verdict::Broken
+            CallEnd::Misdirected
+            | CallEnd::Unsent
+            | CallEnd::Unchecked
+            | CallEnd::Displaced
+            | CallEnd::Broken
+            | CallEnd::TooLarge => Verdict::Broken,
+        }
+    }
+
+    /// Notes what the end of a call tells of whether its leaf lives at its address.
+    fn note_life(&mut self, call: &Call, end: &CallEnd, now: Time) {
+        match end {
+            CallEnd::Answer(_) | CallEnd::Refused => self.directory.heard(call.leaf, call.sent_at),
+            CallEnd::Misdirected | CallEnd::Displaced => self.directory.displace(call.leaf, now),
+            CallEnd::Unsent | CallEnd::Unchecked | CallEnd::Broken | CallEnd::TooLarge => {
+                self.directory.suspect(call.leaf);
             }
         }
     }
@@ -241,7 +264,11 @@
         let failed = match end {
             CallEnd::Answer(answer) => !answer.is_success(),
             CallEnd::Broken | CallEnd::TooLarge => true,
-            CallEnd::Refused | CallEnd::Misdirected | CallEnd::Unsent => return,
+            CallEnd::Refused
+            | CallEnd::Misdirected
+            | CallEnd::Unsent
+            | CallEnd::Unchecked
+            | CallEnd::Displaced => return,
         };
         let pace = self.paces.get(&call.route);
         let slow = pace.is_some_and(|pace| pace.is_slow(response));
@@ -257,6 +284,8 @@
             CallEnd::Refused => self.counts.refused += 1,
             CallEnd::Misdirected => self.counts.misdirected += 1,
             CallEnd::Unsent => self.counts.unsent += 1,
+            CallEnd::Unchecked => self.counts.unchecked += 1,
+            CallEnd::Displaced => self.counts.displaced += 1,
             CallEnd::Broken | CallEnd::TooLarge => self.counts.broken += 1,
         }
     }
--- /dev/null
+++ b/crates/edge/tests/checks.rs
@@ -0,0 +1,147 @@
+//! When a new connection must not carry a call before the leaf has told its name, and what becomes of a
+//! leaf whose address another one has.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Node, config, failure, good, leaf, single};
+use monsoondeal_edge::{CallEnd, EdgeSettings, LeafEntry, Name, Repeat, Reply};
+use rstest::rstest;
+
+const REUSE: Duration = Duration::from_secs(2);
+/// How long a displaced leaf is left alone.
+const HOLD: Duration = Duration::from_secs(5);
+const COLD_RATE: f64 = 10.0;
+
+/// Returns a node that may not repeat any call, with leafs of one service that can be asked for their name.
+fn node(leafs: &[&str]) -> Node {
+    let settings = EdgeSettings {
+        nodes: 1,
+        repeat_ratio: 0.0,
+        repeat_slack: 0.0,
+        address_reuse: REUSE,
+        ..EdgeSettings::default()
+    };
+    let mut config = config(1, vec![single("r", "s", Repeat::Idempotent)], 4);
+    for service in config.services.values_mut() {
+        service.check_path = Some(Name::from("/health"));
+        service.cold_rate = Some(COLD_RATE);
+    }
+    let entries = leafs.iter().map(|name| leaf(name, "s")).collect();
+    Node::with_settings(settings, config, entries)
+}
+
+/// Sends a request, ends its call and returns whether the leaf was proved to have its address.
+fn call(node: &mut Node, end: CallEnd) -> bool {
+    node.request("r");
+    let call = node.calls[0].clone();
+    node.end(call.call, end);
+    node.serve_except(|_| false);
+    call.is_proved
+}
+
+#[test]
+fn leaf_never_heard_of_is_not_proved() {
+    let mut node = node(&["a"]);
+    node.request("r");
+    assert!(!node.calls[0].is_proved);
+    assert_eq!(node.calls[0].check_path.as_deref(), Some("/health"));
+}
+
+#[rstest]
+#[case::answer(good("x"), true)]
+#[case::failure(failure(), true)]
+#[case::refused(CallEnd::Refused, true)]
+#[case::broken(CallEnd::Broken, false)]
+#[case::unsent(CallEnd::Unsent, false)]
+#[case::unchecked(CallEnd::Unchecked, false)]
+fn leaf_is_proved_by_its_latest_call(#[case] end: CallEnd, #[case] expected: bool) {
+    let mut node = node(&["a"]);
+    call(&mut node, good("x"));
+    node.request("r");
+    let second = node.calls[0].call;
+    node.end(second, end);
+    node.calls.clear();
+    node.request("r");
+    assert_eq!(node.calls[0].is_proved, expected);
+}
+
+/// The span is counted from when the call was sent: the leaf may have ended right after it answered.
+#[rstest]
+#[case::soon(Duration::from_millis(900), true)]
+#[case::late(Duration::from_millis(1_100), false)]
+#[case::address_used_again(REUSE, false)]
+fn leaf_is_proved_for_a_part_of_the_reuse_time(#[case] pause: Duration, #[case] expected: bool) {
+    let mut node = node(&["a"]);
+    node.request("r");
+    let first = node.calls[0].call;
+    node.pass(pause / 2);
+    node.end(first, good("x"));
+    node.pass(pause / 2);
+    assert_eq!(call(&mut node, good("x")), expected);
+}
+
+/// A call that was not sent goes to another leaf even without any budget for repeats.
+#[rstest]
+#[case::displaced(CallEnd::Displaced)]
+#[case::unchecked(CallEnd::Unchecked)]
+fn call_that_was_not_sent_is_no_repeat(#[case] end: CallEnd) {
+    let mut node = node(&["a", "b"]);
+    let token = node.request("r");
+    let first = node.calls[0].clone();
+    node.end(first.call, end);
+    assert_ne!(node.calls[0].leaf, first.leaf);
+    node.serve_except(|_| false);
+    assert!(matches!(node.reply(token), Some(Reply::Answer(_))));
+    assert_eq!(node.edge.counts().repeats, 0);
+}
+
+#[rstest]
+#[case::displaced(CallEnd::Displaced)]
+#[case::misdirected(CallEnd::Misdirected)]
+fn displaced_leaf_is_left_alone_for_a_time(#[case] end: CallEnd) {
+    let mut node = node(&["a"]);
+    call(&mut node, end);
+    let token = node.request("r");
+    assert!(node.calls.is_empty());
+    assert!(matches!(node.reply(token), Some(Reply::Rejected { .. })));
+    node.pass(HOLD);
+    node.step(|edge, now, out| edge.tick(now, out));
+    node.request("r");
+    assert!(!node.calls[0].is_proved);
+}
+
+/// The registry may go on to list the leaf as it was; another incarnation is called at once.
+#[rstest]
+#[case::same_entry(1, false)]
+#[case::next_incarnation(2, true)]
+fn displaced_leaf_listed_again(#[case] born: u64, #[case] is_called: bool) {
+    let mut node = node(&["a"]);
+    call(&mut node, CallEnd::Displaced);
+    let entry = LeafEntry {
+        born,
+        ..leaf("a", "s")
+    };
+    node.step(|edge, now, out| edge.upsert_leaf(entry, now, out));
+    node.request("r");
+    assert_eq!(!node.calls.is_empty(), is_called);
+}
+
+/// The check is a request to a cold leaf too.
+#[test]
+fn cold_leaf_is_paced_for_check_and_call() {
+    let mut node = node(&[]);
+    let cold = LeafEntry {
+        warmup: Duration::from_secs(60),
+        ..leaf("a", "s")
+    };
+    node.step(|edge, now, out| edge.upsert_leaf(cold, now, out));
+    let gap = Duration::from_secs_f64(1.0 / COLD_RATE);
+    call(&mut node, good("x"));
+    node.request("r");
+    node.pass(gap + gap / 2);
+    assert!(node.calls.is_empty(), "the check was not counted");
+    node.pass(gap);
+    assert_eq!(node.calls.len(), 1);
+}
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -67,6 +67,7 @@
                 connections,
                 cold_rate: None,
                 warmup: Duration::ZERO,
+                check_path: None,
             };
             services.insert(name, service);
         }
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -21,7 +21,7 @@
 ];
 
 /// All counters.
-pub(crate) const COUNTERS: [Counter<Figures>; 17] = [
+pub(crate) const COUNTERS: [Counter<Figures>; 19] = [
     ("requests", "Requests of callers", |f| f.counts.requests),
     ("answered", "Requests answered in full", |f| {
         f.counts.answered
@@ -65,6 +65,16 @@
     ("unsent", "Calls that could not be sent", |f| {
         f.counts.unsent
     }),
+    (
+        "unchecked",
+        "Calls not sent since the leaf did not tell its name in time",
+        |f| f.counts.unchecked,
+    ),
+    (
+        "displaced",
+        "Calls not sent since another leaf has the address",
+        |f| f.counts.displaced,
+    ),
 ];
 
 /// All gauges.
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -408,11 +408,14 @@
 
     /// Logs the end of a call if it tells of more than its request.
     fn note_end(&mut self, carried: &Carried, end: &CallEnd) {
-        if let CallEnd::Misdirected = end
-            && let Some(meant) = self.edge.directory().entry(carried.leaf)
-        {
-            let id = String::from_utf8_lossy(&carried.inbound.id);
-            self.logs.misdirected(&id, meant);
+        let Some(meant) = self.edge.directory().entry(carried.leaf) else {
+            return;
+        };
+        let id = String::from_utf8_lossy(&carried.inbound.id);
+        match end {
+            CallEnd::Misdirected => self.logs.misdirected(&id, meant),
+            CallEnd::Displaced => self.logs.displaced(&id, meant),
+            _ => {}
         }
     }
 
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -10,6 +10,7 @@
 use monsoondeal_edge::{Answer, CallEnd, Send};
 use monsoondeal_node::client::{ANSWER_LIMIT, AnswerError, Sender, handshake, read_body};
 
+use crate::check::{Identity, identify};
 use crate::dial;
 use crate::event::{Event, EventSender, Inbound, send};
 use crate::segment;
@@ -105,8 +106,10 @@
     let Some(mut request) = request(call, inbound, names) else {
         return (idle, CallEnd::Unsent);
     };
+    let mut is_proved = call.is_proved;
     // An idle connection that the leaf has closed gives the request back unsent.
     if let Some(mut connection) = idle {
+        is_proved = false;
         match connection.sender.try_send_request(request).await {
             Ok(response) => return read(connection.sender, response, inbound, names).await,
             Err(mut error) => match error.take_message() {
@@ -115,8 +118,9 @@
             },
         }
     }
-    let Some(mut sender) = open(call).await else {
-        return (None, CallEnd::Unsent);
+    let mut sender = match open_to(call, is_proved, names).await {
+        Ok(sender) => sender,
+        Err(end) => return (None, end),
     };
     if let Some(budget) = budget(call, started.elapsed()) {
         request.headers_mut().insert(names.deadline.clone(), budget);
@@ -130,6 +134,26 @@
     }
 }
 
+/// Opens a connection to the leaf that a call is meant for. Unless `is_proved`, the leaf tells its name
+/// first.
+async fn open_to(call: &Send, is_proved: bool, names: &HeaderNames) -> Result<Sender, CallEnd> {
+    let mut sender = open(call).await.ok_or(CallEnd::Unsent)?;
+    let path = match &call.check_path {
+        Some(path) if !is_proved => path,
+        _ => return Ok(sender),
+    };
+    match identify(&mut sender, call, path, names).await {
+        Identity::Meant => {}
+        Identity::Other => return Err(CallEnd::Displaced),
+        Identity::Unknown => return Err(CallEnd::Unchecked),
+    }
+    if sender.ready().await.is_ok() {
+        return Ok(sender);
+    }
+    // The leaf closes a connection after an answer now and then.
+    open(call).await.ok_or(CallEnd::Unsent)
+}
+
 async fn open(call: &Send) -> Option<Sender> {
     let limit = CONNECT_LIMIT.min(call.budget);
     let stream = dial::connect(call.addr, limit).await.ok()?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod admin;
+mod check;
 mod counters;
 mod dial;
 mod error;
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -108,6 +108,18 @@
             "call misdirected"
         );
     }
+
+    /// Writes that another leaf was found at the address of the one that a call was meant for, before the
+    /// call was sent.
+    pub(crate) fn displaced(&mut self, id: &str, meant: &LeafEntry) {
+        if !self.admit() {
+            return;
+        }
+        log::info!(
+            id, service:% = meant.service, leaf:% = meant.name, addr:% = meant.addr;
+            "another leaf has the address"
+        );
+    }
 }
 
 /// Returns a span in milliseconds, or -1 for none.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -17,6 +17,8 @@
     pub stamp: HeaderName,
     /// Leaf that a call is meant for; any other one refuses it.
     pub instance: HeaderName,
+    /// Name of the leaf that answers a check, or that refuses a call meant for another one.
+    pub identity: HeaderName,
     /// Set by a leaf that did not run a call.
     pub not_run: HeaderName,
     /// Signatures of the parts of a merged response.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -92,8 +92,16 @@
         .expect("a socket option");
 }
 
-/// Answers a request well.
+/// Answers a request well, and a check with the name that was asked for.
 pub fn answer_well(stream: &mut TcpStream, head: &str) {
+    if head.starts_with("GET /health ") {
+        let name = field(head, "x-instance").unwrap_or_default();
+        write(
+            stream,
+            &format!("HTTP/1.1 200 OK\r\nx-leaf: {name}\r\ncontent-length: 0\r\n\r\n"),
+        );
+        return;
+    }
     let id = field(head, "x-id").unwrap_or_default();
     let text =
         format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\ncontent-length: 4\r\n\r\ngood");
@@ -106,6 +114,7 @@
         deadline: HeaderName::from_static("x-deadline"),
         stamp: HeaderName::from_static("x-stamp"),
         instance: HeaderName::from_static("x-instance"),
+        identity: HeaderName::from_static("x-leaf"),
         not_run: HeaderName::from_static("x-not-run"),
         parts: HeaderName::from_static("x-parts"),
         missing: HeaderName::from_static("x-missing"),
@@ -239,12 +248,30 @@
 
     /// Starts a gateway with one route, `/r/`, to a service with leafs at these addresses.
     pub fn with_addrs(repeat: Repeat, addrs: Vec<SocketAddr>) -> Self {
+        Self::with_config(addrs, move || config(repeat))
+    }
+
+    /// Starts such a gateway whose leafs tell their names at `/health`.
+    pub fn with_checked_addrs(repeat: Repeat, addrs: Vec<SocketAddr>) -> Self {
+        Self::with_config(addrs, move || {
+            let mut config = config(repeat);
+            for service in config.services.values_mut() {
+                service.check_path = Some(Name::from("/health"));
+            }
+            config
+        })
+    }
+
+    fn with_config<F>(addrs: Vec<SocketAddr>, config: F) -> Self
+    where
+        F: FnOnce() -> Config + Send + 'static,
+    {
         let gateway = Self::start_with(move || {
             let entries = addrs.into_iter().enumerate().map(entry);
             vec![
                 Update::Leafs(entries.collect()),
                 Update::ClosedDomains(HashSet::new()),
-                Update::Config(Rc::new(config(repeat))),
+                Update::Config(Rc::new(config())),
             ]
         });
         gateway.wait_until_ready();
@@ -353,6 +380,7 @@
         connections: 10,
         cold_rate: None,
         warmup: Duration::ZERO,
+        check_path: None,
     };
     let services = HashMap::from([(Name::from("s"), service)]);
     Config::new(version, [route], services, Limits::default())
--- a/crates/gateway/tests/taken_addresses.rs
+++ b/crates/gateway/tests/taken_addresses.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use common::{Gateway, Leaf, answer_well, field, read_head, write};
+use common::{Behaviour, Gateway, Leaf, answer_well, field, read_head, write};
 use monsoondeal_edge::Repeat;
 use rstest::rstest;
 
@@ -106,7 +106,7 @@
     let (place, replica) = (Place::start("leaf-0"), Leaf::start(answer_well));
     let mut addrs = vec![place.addr];
     addrs.extend(with_replica.then_some(replica.addr));
-    let gateway = Gateway::with_addrs(repeat, addrs);
+    let gateway = Gateway::with_checked_addrs(repeat, addrs);
     for at in 0..6 {
         let response = gateway.request(&format!("before-{at}"));
         assert!(response.starts_with("HTTP/1.1 200"), "{response}");
@@ -120,3 +120,111 @@
     }
     assert_eq!(place.strays(), 0);
 }
+
+/// Answers a check by a status and a name, and closes the connection if told so.
+fn tell(stream: &mut TcpStream, status: &str, name: Option<&str>, fields: &str) {
+    let name = name.map_or(String::new(), |name| format!("x-leaf: {name}\r\n"));
+    write(
+        stream,
+        &format!("HTTP/1.1 {status}\r\n{name}{fields}content-length: 0\r\n\r\n"),
+    );
+}
+
+fn is_check(head: &str) -> bool {
+    head.starts_with("GET /health ")
+}
+
+fn own_name(head: &str) -> Option<&str> {
+    field(head, "x-instance")
+}
+
+fn says_it_leaves(stream: &mut TcpStream, head: &str) {
+    if is_check(head) {
+        tell(stream, "503 Service Unavailable", own_name(head), "");
+    } else {
+        answer_well(stream, head);
+    }
+}
+
+fn closes_after_the_check(stream: &mut TcpStream, head: &str) {
+    if is_check(head) {
+        tell(stream, "200 OK", own_name(head), "connection: close\r\n");
+        let _ = stream.shutdown(Shutdown::Both);
+    } else {
+        answer_well(stream, head);
+    }
+}
+
+fn tells_no_name(stream: &mut TcpStream, head: &str) {
+    if is_check(head) {
+        tell(stream, "200 OK", None, "");
+    } else {
+        answer_well(stream, head);
+    }
+}
+
+fn tells_another_name(stream: &mut TcpStream, head: &str) {
+    assert!(is_check(head), "a call was sent");
+    tell(stream, "200 OK", Some("another"), "");
+}
+
+fn is_full(stream: &mut TcpStream, head: &str) {
+    assert!(is_check(head), "a call was sent");
+    tell(stream, "503 Service Unavailable", None, "x-not-run: 1\r\n");
+}
+
+fn breaks_the_check_off(stream: &mut TcpStream, head: &str) {
+    assert!(is_check(head), "a call was sent");
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn is_silent(_stream: &mut TcpStream, head: &str) {
+    assert!(is_check(head), "a call was sent");
+}
+
+/// A leaf that tells its name is called, also where it is leaving or closes the connection then.
+#[rstest]
+#[case::well(answer_well)]
+#[case::says_it_leaves(says_it_leaves)]
+#[case::closes_after_the_check(closes_after_the_check)]
+#[case::tells_no_name(tells_no_name)]
+fn checked_leaf_is_called(
+    #[case] behave: Behaviour,
+    #[values(Repeat::Idempotent, Repeat::AtMostOnce)] repeat: Repeat,
+) {
+    let leaf = Leaf::start(behave);
+    let gateway = Gateway::with_checked_addrs(repeat, vec![leaf.addr]);
+    for at in 0..4 {
+        let response = gateway.request(&format!("id-{at}"));
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert!(response.ends_with("good"), "{response}");
+    }
+    let arrivals = leaf.arrivals();
+    assert!(
+        (5..=8).contains(&arrivals),
+        "four calls and {arrivals} requests"
+    );
+}
+
+/// One that does not is not called; the request has not run, and another leaf serves it.
+#[rstest]
+#[case::tells_another_name(tells_another_name)]
+#[case::is_full(is_full)]
+#[case::breaks_the_check_off(breaks_the_check_off)]
+#[case::is_silent(is_silent)]
+fn unchecked_leaf_is_not_called(
+    #[case] behave: Behaviour,
+    #[values(Repeat::Idempotent, Repeat::AtMostOnce)] repeat: Repeat,
+) {
+    let (bad, well) = (Leaf::start(behave), Leaf::start(answer_well));
+    let gateway = Gateway::with_checked_addrs(repeat, vec![bad.addr, well.addr]);
+    for at in 0..8 {
+        let response = gateway.request(&format!("id-{at}"));
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    assert!(bad.arrivals() >= 1, "the case was not met");
+    let alone = Gateway::with_checked_addrs(repeat, vec![bad.addr]);
+    let response = alone.request("id");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(field(&response, "retry-after").is_some(), "{response}");
+}
