Grant no repeats when the number of nodes or the bounds change

Each change of the list of nodes or of the settings, and each start of a process, forgot what a node had spent and granted three tenths of its reserve anew, on top of a reserve that alone filled the bound as far as it is used.

Now a budget outlives changes and follows them; a smaller reserve cuts what is saved up, a larger one has to be earned. The slack is split into what nodes may save up (0.55) and what their starts are given (0.25), so that one start of each node within a window stays within the bound; the rest is for nodes that are counted late and further starts.

--- a/crates/edge/src/share.rs
+++ b/crates/edge/src/share.rs
@@ -8,14 +8,22 @@
 
 use crate::config::Name;
 
-/// Part of a common bound that is used; the rest covers nodes that are counted late.
-const USED_PART: f64 = 0.8;
-/// Part of the reserve for repeats that a node starts with: its predecessor may have used some.
-const FIRST_PART: f64 = 0.3;
-/// Longest time that a service without requests keeps its budget.
+/// Part of the ratio of repeats to requests that is used. The rest covers requests that are counted at a
+/// node and not by others.
+const RATIO_PART: f64 = 0.8;
+/// Part of the slack that all nodes together may have saved up.
+const SAVED_PART: f64 = 0.55;
+/// Part of the slack that all nodes together are given by their starts. What is left of the slack covers
+/// nodes that are counted late, and further starts.
+const FIRST_PART: f64 = 0.25;
+/// Longest time that a service without requests keeps its budget: well above the span of the bound.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 
 /// `Shares` holds the node's part of connections and of repeats.
+///
+/// Over any span in which each node starts once at most, the repeats of all nodes stay below the ratio
+/// times the requests plus the slack. Apart from its start a node gets repeats by requests only: changes of
+/// the bounds or of the number of nodes grant none.
 #[derive(Debug)]
 pub struct Shares {
     nodes: usize,
@@ -23,7 +31,10 @@
     ratio: f64,
     /// Repeats of a service allowed beyond the ratio, for all nodes together.
     slack: f64,
+    /// Budgets of services, with the time of the latest request or repeat.
     budgets: HashMap<Name, (Budget, Time)>,
+    /// When idle budgets are looked for.
+    sweep_at: Time,
 }
 
 impl Shares {
@@ -34,23 +45,18 @@
             ratio,
             slack,
             budgets: HashMap::new(),
+            sweep_at: Time::default(),
         }
     }
 
     /// Sets the number of nodes.
     pub fn set_nodes(&mut self, nodes: usize) {
-        if nodes.max(1) != self.nodes {
-            self.nodes = nodes.max(1);
-            self.budgets.clear();
-        }
+        self.nodes = nodes.max(1);
     }
 
     /// Replaces the common bounds on repeats.
     pub fn set_bounds(&mut self, ratio: f64, slack: f64) {
-        if (ratio, slack) != (self.ratio, self.slack) {
-            (self.ratio, self.slack) = (ratio, slack);
-            self.budgets.clear();
-        }
+        (self.ratio, self.slack) = (ratio, slack);
     }
 
     /// Returns the number of nodes.
@@ -65,30 +71,38 @@
 
     /// Counts a request for a service that `callers` nodes call.
     pub fn earn(&mut self, service: &Name, callers: usize, now: Time) {
-        let entry = self.entry(service, callers, now);
-        entry.0.earn(1);
-        entry.1 = now;
+        self.sweep(now);
+        self.budget(service, callers, now).earn(1);
     }
 
     /// Attempts to take the permission to repeat a call to a service that `callers` nodes call.
     pub fn try_repeat(&mut self, service: &Name, callers: usize, now: Time) -> bool {
-        self.entry(service, callers, now).0.try_spend()
+        self.budget(service, callers, now).try_spend()
     }
 
     /// Forgets services that have had no request for long.
-    pub fn expire(&mut self, now: Time) {
+    fn sweep(&mut self, now: Time) {
+        if now < self.sweep_at {
+            return;
+        }
+        self.sweep_at = now + IDLE_LIMIT;
         self.budgets
             .retain(|_, (_, used)| now.since(*used) < IDLE_LIMIT);
     }
 
-    fn entry(&mut self, service: &Name, callers: usize, now: Time) -> &mut (Budget, Time) {
-        let reserve = (self.slack * USED_PART / callers.max(1) as f64).max(1.0);
-        let ratio = self.ratio * USED_PART;
-        self.budgets.entry(service.clone()).or_insert_with(|| {
-            (
-                Budget::with_tokens(ratio, reserve, reserve * FIRST_PART),
-                now,
-            )
-        })
+    /// Returns the budget of a service, under the present bounds.
+    fn budget(&mut self, service: &Name, callers: usize, now: Time) -> &mut Budget {
+        let part = self.slack / callers.max(1) as f64;
+        let ratio = self.ratio * RATIO_PART;
+        let reserve = (part * SAVED_PART).max(1.0);
+        let first = || Budget::with_tokens(ratio, reserve, part * FIRST_PART);
+        let (budget, used) = self
+            .budgets
+            .entry(service.clone())
+            .or_insert_with(|| (first(), now));
+        *used = now;
+        budget.set_ratio(ratio);
+        budget.set_reserve(reserve);
+        budget
     }
 }
--- a/crates/limit/src/budget.rs
+++ b/crates/limit/src/budget.rs
@@ -34,6 +34,12 @@
         self.ratio = ratio;
     }
 
+    /// Replaces the reserve; what is saved up beyond it is lost.
+    pub fn set_reserve(&mut self, reserve: f64) {
+        self.reserve = reserve;
+        self.tokens = self.tokens.min(reserve);
+    }
+
     /// Counts regular calls.
     pub fn earn(&mut self, calls: usize) {
         self.tokens = (self.tokens + self.ratio * calls as f64).min(self.reserve);
