Reset the connection of a call that is given up

Cause: closing a connection in order lets the system deliver what it still holds. A reset drops it.

Evidence: abandoned_call_resets_its_connection failed before (closed, no reset within 5 s) and passes.

--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -27,6 +27,16 @@
     Ok(stream)
 }
 
+/// Lets the end of a connection reset it, so that bytes which have not arrived never do.
+///
+/// # Errors
+///
+/// If the system refuses an option.
+pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    let file = stream.to_poll_fd()?;
+    SockRef::from(&file).set_linger(Some(Duration::ZERO))
+}
+
 /// Lets the system probe an idle connection, and close it when the peer is silent.
 ///
 /// # Errors
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -157,6 +157,10 @@
 async fn open(call: &Send) -> Option<Sender> {
     let limit = CONNECT_LIMIT.min(call.budget);
     let stream = dial::connect(call.addr, limit).await.ok()?;
+    // A call that is given up must not arrive later, as one more request to the leaf.
+    if let Err(error) = dial::reset_on_close(&stream) {
+        log::warn!("a connection to a leaf will be closed without a reset: {error}");
+    }
     let (sender, connection) = handshake(stream, ANSWER_LIMIT).await.ok()?;
     compio::runtime::spawn(async move {
         if let Err(error) = connection.await {
--- /dev/null
+++ b/crates/gateway/tests/abandoned_calls.rs
@@ -0,0 +1,67 @@
+//! Calls that are given up, as the leaf sees them, over real sockets.
+
+mod common;
+
+use std::io::Read;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{Gateway, read_head, request_text, write};
+use monsoondeal_edge::Repeat;
+
+/// Longest wait for the end of a connection, and for its reset after that.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Starts a leaf that never answers, and tells of its connections whether they end by a reset.
+fn silent_leaf() -> (SocketAddr, Receiver<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let (sender, ends) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, sender) = (stream.expect("a connection"), sender.clone());
+            thread::spawn(move || {
+                if read_head(&mut stream).is_some() {
+                    // The test may have ended.
+                    let _ = sender.send(ends_by_reset(&mut stream));
+                }
+            });
+        }
+    });
+    (addr, ends)
+}
+
+/// Waits until the other side closes a connection and returns whether it resets it as well.
+fn ends_by_reset(stream: &mut TcpStream) -> bool {
+    match stream.read(&mut [0]) {
+        Ok(0) => {}
+        Ok(_) => panic!("bytes after the request"),
+        Err(_) => return true,
+    }
+    let began = Instant::now();
+    while began.elapsed() < PATIENCE {
+        let error = stream.take_error().expect("an open socket");
+        if error.is_some() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    false
+}
+
+/// What a partition holds up is lost only if the sender resets the connection: a call that is given up and
+/// closed otherwise arrives when the partition heals, as one more request to the leaf.
+#[test]
+fn abandoned_call_resets_its_connection() {
+    let (addr, ends) = silent_leaf();
+    let gateway = Gateway::with_addrs(Repeat::Idempotent, vec![addr]);
+    let mut caller = TcpStream::connect(gateway.front).expect("a gateway");
+    write(&mut caller, &request_text("id", "/r/x", ""));
+    // The call is under way before the caller leaves.
+    thread::sleep(Duration::from_millis(200));
+    caller.shutdown(Shutdown::Both).expect("an open connection");
+    let is_reset = ends.recv_timeout(PATIENCE * 2);
+    assert!(is_reset.expect("the call is given up"));
+}
