Count a request for a segment of a query where it is served

On fleets that split queries, a node that rejected a segment earned repeats for its shards, and so did the next one that was asked: one request of a caller granted several. And the asking node kept budgets for segments, which it never repeats. Now a segment counts once it is accepted.

Evidence: rejected_segment_grants_no_repeats failed before (10 hedges of a request that grants less than one), and passes.

--- a/crates/edge/src/edge/arrive.rs
+++ b/crates/edge/src/edge/arrive.rs
@@ -12,7 +12,7 @@
 use crate::config::{Name, Route, Target};
 use crate::job::{BUSY_RETRY, Job, NO_LEAF_RETRY, least_shards};
 use crate::pace::Pace;
-use crate::segment::{SegmentCall, digest, range, segment_name};
+use crate::segment::{SegmentCall, digest, is_segment, range, segment_name};
 
 /// Share of the objective that a request may be expected to wait for a leaf.
 const QUEUE_SHARE: f64 = 0.5;
@@ -88,11 +88,12 @@
             return;
         };
         let services = &targets.services;
-        for (service, _) in services {
-            let callers = self.callers(service);
-            self.shares.earn(service, callers, now);
+        // Another node may be asked for a segment that is rejected here, and counts it then.
+        let is_part = inquiry.segment.is_some();
+        if !is_part {
+            self.earn(services, now);
         }
-        if let Some(reply) = self.rejection(route, &targets, inquiry.segment.is_some()) {
+        if let Some(reply) = self.rejection(route, &targets, is_part) {
             let summary = Summary {
                 route: Some(route.name.clone()),
                 version: config.version,
@@ -102,6 +103,9 @@
             self.reply_early(token, reply, summary, out);
             return;
         }
+        if is_part {
+            self.earn(services, now);
+        }
         let patience = inquiry.patience.unwrap_or(route.timeout);
         let mut job = Job::new(route.clone(), config.version, services, patience, now);
         self.shape(&mut job, inquiry, &targets, now);
@@ -117,6 +121,15 @@
         self.settle(token, now, out);
     }
 
+    /// Counts a request for services whose calls this node may repeat.
+    fn earn(&mut self, services: &[(Name, usize)], now: Time) {
+        // The nodes that serve a segment repeat its calls themselves.
+        for (service, _) in services.iter().filter(|(name, _)| !is_segment(name)) {
+            let callers = self.callers(service);
+            self.shares.earn(service, callers, now);
+        }
+    }
+
     /// Returns what a request needs answers of; `None` if the segment that is asked for does not fit the
     /// configuration.
     fn resolve(
--- a/crates/edge/tests/segments.rs
+++ b/crates/edge/tests/segments.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use common::{HOST, Node, config, fan_out, leaf, shard};
 use monsoondeal_edge::{
-    Answer, CallEnd, Inquiry, LeafEntry, Name, Note, Peer, Reply, SegmentCall, Send, Token,
+    Answer, CallEnd, EdgeSettings, Inquiry, LeafEntry, Name, Note, Peer, Reply, SegmentCall, Send,
+    Token,
 };
 use rstest::rstest;
 
@@ -256,6 +257,44 @@
     assert!(matches!(node.reply(token), Some(Reply::Rejected { .. })));
 }
 
+/// Another node serves what this one rejects, and counts it: one request of a caller grants one repeat of a
+/// shard at the most, however many nodes were asked for its segment.
+#[test]
+fn rejected_segment_grants_no_repeats() {
+    let mut node = node(70);
+    let settings = EdgeSettings {
+        repeat_ratio: 1.0,
+        repeat_slack: 0.0,
+        ..EdgeSettings::default()
+    };
+    node.edge.set_settings(settings);
+    node.request("q");
+    let asked = segment(&node.calls[0]);
+    node.calls.clear();
+    node.step(|edge, now, out| edge.replace_leafs(Vec::new(), now, out));
+    // Leafs that vanish together are held for a moment.
+    node.pass(Duration::from_secs(3));
+    for at in 0..5 {
+        serve(&mut node, Token(1_000 + at), asked);
+        let reply = node.reply(Token(1_000 + at));
+        assert!(matches!(reply, Some(Reply::Rejected { .. })), "{reply:?}");
+    }
+    let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
+    let covered = &shards[asked.range(&shards).expect("the same shards")];
+    let leafs = covered.iter().flat_map(|service| {
+        ["a", "b"].map(|replica| leaf(&format!("{service}-{replica}"), service))
+    });
+    let leafs: Vec<LeafEntry> = leafs.collect();
+    node.step(|edge, now, out| edge.replace_leafs(leafs, now, out));
+    serve(&mut node, Token(2_000), asked);
+    node.pass(Duration::from_millis(60));
+    let hedges = node
+        .notes
+        .iter()
+        .filter(|note| matches!(note, Note::Hedged { .. }));
+    assert_eq!(hedges.count(), 0, "the request itself grants less than one");
+}
+
 fn serve(node: &mut Node, token: Token, segment: SegmentCall) {
     node.step(|edge, now, out| {
         let inquiry = Inquiry {
