Pace calls to a cold leaf so that no second holds more than it bears of all nodes

Found while looking for shares that hold by luck. Each node spaced its calls by its share of the rate, which is rarely a whole number: 13 nodes that share 15 a second called it at once, and again 0.87 s later: 26 in a second, 20 borne. Now a node's share of rate and slack is cut to a whole number a second, with calls that much more than evenly spaced, so that it holds wherever the second begins. More nodes than a cold leaf bears requests a second are still not covered if all call it at once.

Evidence: cold_leaf_gets_what_it_bears_of_all_nodes failed for 13 nodes before (26, 20 allowed) and passes for 3, 9, 13 and 18.

--- a/crates/edge/src/edge/launch.rs
+++ b/crates/edge/src/edge/launch.rs
@@ -19,6 +19,10 @@
 /// Part of the time until an address may belong to another leaf within which a leaf that was heard of
 /// needs no check. The rest covers the time to open a connection and how late this node may run.
 const PROVED_PART: f64 = 0.5;
+/// Least rate at which a node calls a cold leaf, in requests a second.
+const LEAST_COLD_RATE: f64 = 0.01;
+/// Factor on the time between two calls to a cold leaf, for calls that take unequally long to arrive.
+const COLD_SPACING: f64 = 1.05;
 /// Time between two looks at a shard that waits for a leaf.
 const WAIT_LOOK: Duration = Duration::from_millis(20);
 
@@ -73,8 +77,11 @@
             self.cold_next.remove(&id);
             return;
         }
-        let share = (rate * self.settings.cold_factor / self.shares.nodes() as f64).max(0.01);
-        let pause = Duration::from_secs_f64(1.0 / share) * requests;
+        let bound = rate * self.settings.cold_factor + self.settings.cold_slack;
+        let share = bound / self.shares.nodes() as f64;
+        // A whole number a second: however the nodes' calls fall, a second holds no more of them.
+        let share = if share >= 1.0 { share.floor() } else { share };
+        let pause = Duration::from_secs_f64(COLD_SPACING / share.max(LEAST_COLD_RATE)) * requests;
         self.cold_next.insert(id, now + pause);
     }
 
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -42,6 +42,8 @@
     pub repeat_slack: f64,
     /// Factor on the rate that a cold leaf bears.
     pub cold_factor: f64,
+    /// Requests that a cold leaf bears in one second beyond that, from all nodes together.
+    pub cold_slack: f64,
     /// Least time from the end of a leaf until another one may have its address.
     pub address_reuse: Duration,
     /// Processor share of the node, in cores.
@@ -57,6 +59,7 @@
             repeat_ratio: 0.1,
             repeat_slack: 10.0,
             cold_factor: 1.0,
+            cold_slack: 0.0,
             address_reuse: Duration::from_secs(2),
             cores: 1.0,
             seed: 1,
--- a/crates/edge/tests/load.rs
+++ b/crates/edge/tests/load.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use common::farm::{Farm, Leafs, Mode, Tally};
-use common::{Node, config, fan_out, leaf, shard};
-use monsoondeal_edge::LeafEntry;
+use common::{Node, config, fan_out, leaf, shard, single};
+use monsoondeal_edge::{EdgeSettings, LeafEntry, Repeat};
 use rstest::rstest;
 
 const SHARDS: usize = 20;
@@ -132,3 +132,57 @@
     let (urgent, other) = (farm.finish("q"), farm.finish("stats"));
     assert!(share(&urgent) >= share(&other), "{urgent:?} {other:?}");
 }
+
+/// Nodes that all want a cold leaf from one moment on send it no more in any second than it bears, whatever
+/// their number.
+#[rstest]
+#[case::few(3)]
+#[case::today(9)]
+#[case::with_spares(13)]
+#[case::as_many_as_it_bears(18)]
+fn cold_leaf_gets_what_it_bears_of_all_nodes(#[case] count: usize) {
+    const RATE: f64 = 10.0;
+    const FACTOR: f64 = 1.5;
+    const SLACK: f64 = 5.0;
+    const STEP: Duration = Duration::from_millis(5);
+    let settings = EdgeSettings {
+        nodes: count,
+        cold_factor: FACTOR,
+        cold_slack: SLACK,
+        ..EdgeSettings::default()
+    };
+    let mut nodes: Vec<Node> = (0..count)
+        .map(|_| {
+            let mut config = config(1, vec![single("r", "s", Repeat::Idempotent)], 100);
+            for service in config.services.values_mut() {
+                service.cold_rate = Some(RATE);
+            }
+            let cold = LeafEntry {
+                warmup: Duration::from_secs(60),
+                ..leaf("a", "s")
+            };
+            Node::with_settings(settings.clone(), config, vec![cold])
+        })
+        .collect();
+    let mut sent: Vec<usize> = Vec::new();
+    for _ in 0..1_000 {
+        let mut step = 0;
+        for node in &mut nodes {
+            node.request_within("r", Duration::from_secs(2));
+            node.pass(STEP);
+            step += node.calls.len();
+            node.serve_except(|_| false);
+        }
+        sent.push(step);
+    }
+    let second = 1_000 / STEP.as_millis() as usize;
+    let most = sent
+        .windows(second)
+        .map(|calls| calls.iter().sum::<usize>())
+        .max();
+    assert!(
+        most.is_some_and(|most| most as f64 <= RATE * FACTOR + SLACK),
+        "{most:?}"
+    );
+    assert!(sent.iter().sum::<usize>() > 0);
+}
