Bound the store's answers by the functions that bound those of leafs

The client of the store opened connections and read bodies by a copy of what the client of leafs does, without its bound on the head, and the probe had a copy of the limit on time. One copy of each now; behaviour differs in that the head of an answer of the store may have 128 KiB and 100 fields at most.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub use error::GatewayError;
 pub use event::{DecisionSender, Reading, ReadingSender, Update, UpdateSender};
 pub use hub::run;
+pub use monsoondeal_node::client::{handshake, read_body};
 pub use monsoondeal_node::signals::{SignalReceiver, Signals};
-pub use monsoondeal_node::stream::Stream;
+
 pub use settings::{GatewaySettings, HeaderNames, StopSettings};
