--- a/crates/gateway/tests/taken_addresses.rs
+++ b/crates/gateway/tests/taken_addresses.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use common::{Behaviour, Gateway, Leaf, answer_well, field, read_head, write};
+use common::{Behaviour, Gateway, Leaf, answer_well, ask, field, read_head, write};
 use monsoondeal_edge::Repeat;
 use rstest::rstest;
 
@@ -228,3 +228,25 @@
     assert!(response.starts_with("HTTP/1.1 503"), "{response}");
     assert!(field(&response, "retry-after").is_some(), "{response}");
 }
+
+/// Where leafs cannot be asked for their names, the first call that another leaf refuses is the last one.
+#[test]
+fn misdirected_call_is_counted_and_ends_calls_to_its_leaf() {
+    let place = Place::start("leaf-0");
+    let gateway = Gateway::with_addrs(Repeat::Idempotent, vec![place.addr]);
+    let response = gateway.request("before");
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    place.take_over("another");
+    for at in 0..REQUESTS {
+        let response = gateway.request(&format!("after-{at}"));
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    assert_eq!(place.strays(), 1);
+    let request = "GET /metrics HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+    let metrics = ask(gateway.admin, request);
+    let is_counted = |line: &str| {
+        let is_counter = line.starts_with("monsoondeal_misdirected_total");
+        is_counter && line.ends_with(" 1")
+    };
+    assert!(metrics.lines().any(is_counted), "{metrics}");
+}
