Leave room for a process's former connections when it starts

What callers saw: after all nodes had lost their power, calls were reset for four seconds and more. Leafs hold the connections of a process that is gone without a word until those have been idle for long enough; the nodes' shares fill the leafs' limit, so that new connections went over it.

The test fails with the guard taken out by hand (6 calls, 2 allowed).

--- a/crates/edge/src/edge/launch.rs
+++ b/crates/edge/src/edge/launch.rs
@@ -16,6 +16,8 @@
 const FALLBACK_CONNECTIONS: usize = 8;
 /// Most calls under way at one node that serves a segment.
 const PEER_CALLS: usize = 64;
+/// What the share of a leaf's connections is divided by while the leaf may hold those of a former process.
+const YOUNG_DIVISOR: usize = 3;
 /// Part of the time until an address may belong to another leaf within which a leaf that was heard of
 /// needs no check. The rest covers the time to open a connection and how late this node may run.
 const PROVED_PART: f64 = 0.5;
@@ -28,13 +30,21 @@
 
 impl Edge {
     /// Returns the most calls that this node may have under way at one leaf of a service.
+    ///
+    /// Load pattern: all nodes lose their power and start again, and leafs hold the connections of the former
+    /// processes until those have been idle for long enough. New ones beyond the leaf's limit are reset.
     pub(super) fn connection_limit(&self, service: &str) -> usize {
         if is_segment(service) {
             return PEER_CALLS;
         }
         let spec = self.service_spec(service);
         let all = spec.map_or(FALLBACK_CONNECTIONS, |spec| spec.connections);
-        Shares::connections(all, self.callers(service))
+        let share = Shares::connections(all, self.callers(service));
+        if self.is_young {
+            (share / YOUNG_DIVISOR).max(1)
+        } else {
+            share
+        }
     }
 
     /// Returns how many nodes call the leafs of a service: all of them, or those that serve the segment
--- a/crates/edge/src/edge/look.rs
+++ b/crates/edge/src/edge/look.rs
@@ -12,6 +12,7 @@
 impl Edge {
     /// Does what is due.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.is_young = now.since(Time::default()) < self.settings.former_time;
         for id in self.directory.expire(now) {
             self.retire(id, out);
         }
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -46,6 +46,9 @@
     pub cold_slack: f64,
     /// Least time from the end of a leaf until another one may have its address.
     pub address_reuse: Duration,
+    /// How long after its start leafs may still hold the connections of the node's former process. Until
+    /// then it holds fewer than its share.
+    pub former_time: Duration,
     /// Processor share of the node, in cores.
     pub cores: f64,
     /// Seed of the choice between alike leafs.
@@ -61,6 +64,7 @@
             cold_factor: 1.0,
             cold_slack: 0.0,
             address_reuse: Duration::from_secs(2),
+            former_time: Duration::ZERO,
             cores: 1.0,
             seed: 1,
         }
@@ -162,6 +166,8 @@
     cold_next: FixedMap<LeafId, Time>,
     next_call: u64,
     counts: Counts,
+    /// Whether leafs may still hold the connections of the node's former process.
+    is_young: bool,
     rng: SmallRng,
 }
 
@@ -171,6 +177,7 @@
         let shares = Shares::new(settings.nodes, settings.repeat_ratio, settings.repeat_slack);
         let rng = SmallRng::seed_from_u64(settings.seed);
         Self {
+            is_young: !settings.former_time.is_zero(),
             settings,
             config: None,
             knows_leafs: false,
--- a/crates/edge/tests/load.rs
+++ b/crates/edge/tests/load.rs
@@ -186,3 +186,31 @@
     );
     assert!(sent.iter().sum::<usize>() > 0);
 }
+
+/// A node that has just started leaves room for the connections that leafs hold of its former process.
+#[test]
+fn young_node_holds_a_part_of_its_connections() {
+    const FORMER: Duration = Duration::from_secs(6);
+    let settings = EdgeSettings {
+        nodes: 1,
+        former_time: FORMER,
+        ..EdgeSettings::default()
+    };
+    let config = config(1, vec![single("r", "s", Repeat::Idempotent)], 6);
+    let mut node = Node::with_settings(settings, config, vec![leaf("a", "s")]);
+    for _ in 0..6 {
+        node.request("r");
+    }
+    assert_eq!(node.calls.len(), 2);
+    // No request waits for good: each gets a connection once one is free.
+    for _ in 0..3 {
+        node.serve_except(|_| false);
+    }
+    assert_eq!(node.replies.len(), 6);
+    node.pass(FORMER);
+    node.step(|edge, now, out| edge.tick(now, out));
+    for _ in 0..6 {
+        node.request("r");
+    }
+    assert_eq!(node.calls.len(), 6);
+}
