Wait for a leaf's name as long as the caller's time allows

A busy leaf answers a check in its turn, like any request; it was taken for silent after 400 ms, and the request was rejected though there was time. Now a check may take a third of the time left, so that two more tries fit.

--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -3,8 +3,6 @@
 //! The address of a leaf that has ended may belong to a leaf of another service. A call that arrives there
 //! is one more request to that service, which no budget of this node counts.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use compio::time::timeout;
 use http_body_util::Full;
@@ -15,8 +13,9 @@
 
 use crate::settings::HeaderNames;
 
-/// Longest time for a leaf to tell its name.
-const CHECK_LIMIT: Duration = Duration::from_millis(400);
+/// What the time left for a call is divided by to get the longest time for a leaf to tell its name: a busy
+/// leaf answers a check in its turn, and two more tries must fit.
+const CHECK_DIVISOR: u32 = 3;
 
 /// Who is at the other end of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,7 +35,7 @@
     path: &str,
     names: &HeaderNames,
 ) -> Identity {
-    let limit = CHECK_LIMIT.min(call.budget);
+    let limit = call.budget / CHECK_DIVISOR;
     let answer = timeout(limit, ask(sender, call, path, names)).await;
     answer.ok().flatten().unwrap_or(Identity::Unknown)
 }
--- a/crates/gateway/tests/taken_addresses.rs
+++ b/crates/gateway/tests/taken_addresses.rs
@@ -13,6 +13,8 @@
 
 /// Time from the end of a leaf until its address may belong to another one.
 const ADDRESS_REUSE: Duration = Duration::from_secs(2);
+/// Time that a busy leaf takes for each answer.
+const BUSY_TIME: Duration = Duration::from_millis(600);
 /// Requests sent after another leaf took the address.
 const REQUESTS: usize = 12;
 
@@ -250,3 +252,17 @@
     };
     assert!(metrics.lines().any(is_counted), "{metrics}");
 }
+
+fn is_busy(stream: &mut TcpStream, head: &str) {
+    thread::sleep(BUSY_TIME);
+    answer_well(stream, head);
+}
+
+/// A busy leaf answers a check in its turn, as it does any request. It is waited for while there is time.
+#[rstest]
+fn busy_leaf_is_waited_for(#[values(Repeat::Idempotent, Repeat::AtMostOnce)] repeat: Repeat) {
+    let leaf = Leaf::start(is_busy);
+    let gateway = Gateway::with_checked_addrs(repeat, vec![leaf.addr]);
+    let response = gateway.request("id");
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
