Log and count what a version on trial gets at each node, and on what a decision rests

The lines of a version move said that a node decided, not on what evidence, and nothing counted the calls to a version on trial. Metric: monsoondeal_trials_total.

No logic is changed. The sum over the nodes of the last line of each before a time is what the fleet knew at that time.

--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -9,7 +9,7 @@
 
 use crate::config::Name;
 use crate::segment::SegmentCall;
-use crate::shift::MoveDecision;
+use crate::shift::{MoveDecision, MoveReport};
 
 /// `Token` identifies a caller's request within the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -194,4 +194,6 @@
     Note(Token, Note),
     /// Ask for a change of a version move's state.
     Move(MoveDecision),
+    /// Log how far a version move has come.
+    Report(MoveReport),
 }
--- a/crates/edge/src/edge/beliefs.rs
+++ b/crates/edge/src/edge/beliefs.rs
@@ -115,5 +115,7 @@
     pub(super) fn decide_moves(&mut self, now: Time, out: &mut Vec<Action>) {
         let decisions = self.shifts.decide(now);
         out.extend(decisions.into_iter().map(Action::Move));
+        let reports = self.shifts.report(now);
+        out.extend(reports.into_iter().map(Action::Report));
     }
 }
--- a/crates/edge/src/edge/launch.rs
+++ b/crates/edge/src/edge/launch.rs
@@ -180,6 +180,7 @@
             segment,
         }));
         self.counts.calls += 1;
+        self.counts.trials += u64::from(self.shifts.sent(&service, &entry.version));
         self.choice.sent(leaf);
         self.calls.insert(
             id,
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -101,6 +101,8 @@
     pub repeats: u64,
     /// Repeats that the budget did not allow.
     pub denied: u64,
+    /// Calls sent to versions on trial.
+    pub trials: u64,
     /// Calls that leafs refused.
     pub refused: u64,
     /// Calls that reached another leaf than the one that they were meant for.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,5 +29,5 @@
 pub use pace::Pace;
 pub use segment::{Peer, SegmentCall};
 pub use share::Shares;
-pub use shift::{MoveDecision, MoveOrder, MoveState};
+pub use shift::{MoveCause, MoveCount, MoveDecision, MoveOrder, MoveReport, MoveState};
 pub use split::Splits;
--- a/crates/edge/src/shift.rs
+++ b/crates/edge/src/shift.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use monsoondeal_core::{LeafId, Time};
-use monsoondeal_moves::{Grant, Guard, Outcome, VerdictSettings};
+use monsoondeal_moves::{Evidence, Grant, Guard, Outcome, VerdictSettings};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -22,6 +22,8 @@
 const TRIAL_PART: f64 = 0.6;
 /// Part of the move's time after which it is completed. The rest is for a slow store.
 const COMPLETE_PART: f64 = 0.75;
+/// Time between two reports of what a running move has got.
+const COUNT_PERIOD: Duration = Duration::from_secs(1);
 
 /// `MoveState` is how far a version move has come, as all nodes know it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
@@ -51,6 +53,30 @@
     pub state: MoveState,
 }
 
+/// `MoveCause` is why a node asks for a change of a version move's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MoveCause {
+    /// The order is new.
+    Ordered,
+    /// The node's own calls show a fault of the new version.
+    Evidence,
+    /// The time has come.
+    Time,
+}
+
+/// `MoveCount` is what a node has sent and seen in a version move.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct MoveCount {
+    /// Calls to the service.
+    pub calls: u64,
+    /// Calls to the new version among them.
+    pub trials: u64,
+    /// Calls to the new version that no share was asked for, since no other leaf was left.
+    pub forced: u64,
+    /// Ends of calls to both versions, by route.
+    pub evidence: Evidence,
+}
+
 /// `MoveDecision` is a change of a version move's state that the node asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MoveDecision {
@@ -60,6 +86,23 @@
     pub version: Name,
     /// The state that the move is to have.
     pub state: MoveState,
+    /// Why.
+    pub cause: MoveCause,
+    /// What the node has sent and seen until now.
+    pub count: MoveCount,
+}
+
+/// `MoveReport` tells how far a running version move has come at the node, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MoveReport {
+    /// The service.
+    pub service: Name,
+    /// The new version.
+    pub version: Name,
+    /// Time since the order as the node knows it.
+    pub elapsed: Duration,
+    /// What the node has sent and seen until now.
+    pub count: MoveCount,
 }
 
 /// A version move at this node.
@@ -70,6 +113,11 @@
     guard: Guard,
     /// The latest state asked for.
     wanted: Option<MoveState>,
+    calls: u64,
+    trials: u64,
+    forced: u64,
+    /// Calls when the move was last reported, and when that was.
+    reported: (u64, Time),
 }
 
 impl Move {
@@ -78,10 +126,27 @@
             began: now - order.elapsed,
             guard: Guard::new(VerdictSettings::default()),
             wanted: None,
+            calls: 0,
+            trials: 0,
+            forced: 0,
+            reported: (0, now),
             order,
         }
     }
 
+    fn count(&self) -> MoveCount {
+        MoveCount {
+            calls: self.calls,
+            trials: self.trials,
+            forced: self.forced,
+            evidence: self.guard.evidence().clone(),
+        }
+    }
+
+    fn is_running(&self) -> bool {
+        matches!(self.order.state, MoveState::Asked | MoveState::Running)
+    }
+
     /// Returns the part of the move's time that has passed.
     fn part(&self, now: Time) -> f64 {
         let duration = self.order.duration.as_secs_f64().max(1e-3);
@@ -104,14 +169,14 @@
         }
     }
 
-    /// Returns the state that the move should have now.
-    fn due(&self, now: Time) -> MoveState {
+    /// Returns the state that the move should have now, and why.
+    fn due(&self, now: Time) -> (MoveState, MoveCause) {
         if self.guard.is_stopped() {
-            MoveState::RolledBack
+            (MoveState::RolledBack, MoveCause::Evidence)
         } else if self.part(now) >= COMPLETE_PART {
-            MoveState::Completed
+            (MoveState::Completed, MoveCause::Time)
         } else {
-            MoveState::Running
+            (MoveState::Running, MoveCause::Ordered)
         }
     }
 }
@@ -160,11 +225,44 @@
         let is_over = shift.order.state == MoveState::Completed;
         let wants_new = !new.is_empty() && (is_first || is_over) && shift.goes_to_new(now);
         match (wants_new, old.is_empty(), shift.guard.is_stopped()) {
-            (true, ..) | (false, true, false) => new,
+            (true, ..) => new,
+            (false, true, false) => {
+                shift.forced += u64::from(!is_over && !new.is_empty());
+                new
+            }
             (false, _, true) | (false, false, false) => old,
         }
     }
 
+    /// Counts a call that is sent to a leaf. Returns whether it goes to a version on trial.
+    pub(crate) fn sent(&mut self, service: &str, version: &Name) -> bool {
+        let Some(shift) = self.moves.get_mut(service) else {
+            return false;
+        };
+        let is_trial = shift.is_running() && shift.order.version == *version;
+        shift.calls += 1;
+        shift.trials += u64::from(is_trial);
+        is_trial
+    }
+
+    /// Returns what is to be reported of running moves.
+    pub(crate) fn report(&mut self, now: Time) -> Vec<MoveReport> {
+        let due = self.moves.values_mut().filter(|shift| {
+            let (calls, at) = shift.reported;
+            shift.is_running() && shift.calls > calls && now >= at + COUNT_PERIOD
+        });
+        due.map(|shift| {
+            shift.reported = (shift.calls, now);
+            MoveReport {
+                service: shift.order.service.clone(),
+                version: shift.order.version.clone(),
+                elapsed: now.since(shift.began),
+                count: shift.count(),
+            }
+        })
+        .collect()
+    }
+
     /// Notes the end of a call to a leaf.
     pub(crate) fn note(
         &mut self,
@@ -188,7 +286,7 @@
                 shift.order.state,
                 MoveState::Completed | MoveState::RolledBack
             );
-            let due = shift.due(now);
+            let (due, cause) = shift.due(now);
             if is_final || due == shift.order.state || shift.wanted == Some(due) {
                 continue;
             }
@@ -197,6 +295,8 @@
                 service: shift.order.service.clone(),
                 version: shift.order.version.clone(),
                 state: due,
+                cause,
+                count: shift.count(),
             });
         }
         decisions
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -11,7 +11,8 @@
 use monsoondeal_core::{CallId, Time};
 use monsoondeal_edge::{
     Action, Answer, CallEnd, Config, Edge, EdgeSettings, Gather, Inquiry, LeafEntry, Limits,
-    MoveDecision, Name, Note, Repeat, Reply, Route, Send, Service, Summary, Target, Token,
+    MoveDecision, MoveReport, Name, Note, Repeat, Reply, Route, Send, Service, Summary, Target,
+    Token,
 };
 
 /// Host of all routes.
@@ -120,6 +121,7 @@
     pub replies: BTreeMap<Token, (Reply, Summary)>,
     pub notes: Vec<Note>,
     pub decisions: Vec<MoveDecision>,
+    pub reports: Vec<MoveReport>,
     next: u64,
 }
 
@@ -145,6 +147,7 @@
             replies: BTreeMap::new(),
             notes: Vec::new(),
             decisions: Vec::new(),
+            reports: Vec::new(),
             next: 0,
         };
         assert!(node.edge.set_config(config));
@@ -173,6 +176,7 @@
                 Action::Note(_, note) => self.notes.push(note),
                 Action::Retire(_) => {}
                 Action::Move(decision) => self.decisions.push(decision),
+                Action::Report(report) => self.reports.push(report),
             }
         }
     }
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{Node, config, failure, good, leaf, single};
-use monsoondeal_edge::{LeafEntry, MoveOrder, MoveState, Name, Repeat};
+use monsoondeal_edge::{LeafEntry, MoveCause, MoveOrder, MoveState, Name, Repeat};
 use rstest::rstest;
 
 const DURATION: Duration = Duration::from_secs(12);
@@ -153,3 +153,27 @@
         node.pass(GAP);
     }
 }
+
+/// The log tells what a version on trial got of a node, and what it answered.
+#[test]
+fn move_is_counted() {
+    let mut node = node(MoveState::Running);
+    let played = play(&mut node, Duration::from_secs(3), |_, at| at == 0);
+    let count = node.reports.last().expect("a report").count.clone();
+    let seen = count.evidence.routes["r"];
+    assert!(count.calls > 200, "{count:?}");
+    assert!(count.trials > 0 && count.trials <= played.to_new as u64);
+    assert_eq!((count.trials, count.forced), (seen.new.requests, 0));
+    assert_eq!(seen.new.failed, 1, "{count:?}");
+    assert_eq!(count.calls, seen.new.requests + seen.old.requests);
+}
+
+/// A decision tells on what it rests.
+#[test]
+fn move_decision_tells_its_cause() {
+    let mut node = node(MoveState::Running);
+    play(&mut node, DURATION, |_, _| true);
+    let decision = node.decisions.last().expect("a decision");
+    assert_eq!(decision.cause, MoveCause::Evidence);
+    assert!(decision.count.evidence.routes["r"].new.failed > 0);
+}
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -21,7 +21,7 @@
 ];
 
 /// All counters.
-pub(crate) const COUNTERS: [Counter<Figures>; 19] = [
+pub(crate) const COUNTERS: [Counter<Figures>; 20] = [
     ("requests", "Requests of callers", |f| f.counts.requests),
     ("answered", "Requests answered in full", |f| {
         f.counts.answered
@@ -53,6 +53,9 @@
     ("denied", "Repeats that the budget did not allow", |f| {
         f.counts.denied
     }),
+    ("trials", "Calls sent to versions on trial", |f| {
+        f.counts.trials
+    }),
     ("refused", "Calls that leafs refused", |f| f.counts.refused),
     (
         "misdirected",
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -26,7 +26,7 @@
 use crate::logs::{Logs, millis, outcome};
 use crate::relay::Relay;
 use crate::settings::{GatewaySettings, HeaderNames, StopSettings};
-use crate::{admin, front, leafs};
+use crate::{admin, front, leafs, logs};
 
 /// Most events handled before timers are looked at again.
 const EVENT_BATCH: usize = 64;
@@ -270,7 +270,7 @@
             Update::Leaf(entry) => {
                 log::info!(
                     leaf:% = entry.name, service:% = entry.service, addr:% = entry.addr,
-                    draining = entry.draining, warmup_ms = entry.warmup.as_millis() as u64;
+                    version:% = entry.version, draining = entry.draining, warmup_ms = entry.warmup.as_millis() as u64;
                     "leaf changed"
                 );
                 self.step(|edge, now, out| edge.upsert_leaf(*entry, now, out));
@@ -366,11 +366,12 @@
                 self.idle.remove(&leaf);
             }
             Action::Move(decision) => {
-                log::info!(decision:? = decision; "version move decided");
+                logs::move_decided(&decision);
                 if self.decisions.unbounded_send(decision).is_err() {
                     log::error!("a decision on a version move has nowhere to go");
                 }
             }
+            Action::Report(report) => logs::move_counted(&report),
             Action::Note(token, note) => {
                 if let Some(caller) = self.requests.get(&token) {
                     let id = String::from_utf8_lossy(&caller.inbound.id);
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use monsoondeal_edge::{LeafEntry, Note, Reply, Summary};
+use monsoondeal_edge::{LeafEntry, MoveDecision, MoveReport, Note, Reply, Summary};
+use monsoondeal_moves::{Evidence, Tally};
 
 /// Most lines about requests in one span.
 const LINES: u32 = 400;
@@ -142,3 +143,37 @@
         Reply::NoRoute => ("no_route", String::new()),
     }
 }
+
+/// Writes that a change of a version move's state is asked for, and on what evidence.
+pub(crate) fn move_decided(decision: &MoveDecision) {
+    let count = &decision.count;
+    log::info!(
+        service:% = decision.service, version:% = decision.version,
+        state:? = decision.state, cause:? = decision.cause,
+        calls = count.calls, trials = count.trials, forced = count.forced,
+        evidence = evidence(&count.evidence).as_str();
+        "version move decided"
+    );
+}
+
+/// Writes how far a running version move has come at this node.
+pub(crate) fn move_counted(report: &MoveReport) {
+    let count = &report.count;
+    log::info!(
+        service:% = report.service, version:% = report.version,
+        elapsed_ms = millis(Some(report.elapsed)),
+        calls = count.calls, trials = count.trials, forced = count.forced,
+        evidence = evidence(&count.evidence).as_str();
+        "version move counted"
+    );
+}
+
+/// Returns the counts by route: requests, failed and slow ones of the new version and of the old one.
+fn evidence(evidence: &Evidence) -> String {
+    let counts = |tally: Tally| format!("{}/{}/{}", tally.requests, tally.failed, tally.slow);
+    let routes = evidence
+        .routes
+        .iter()
+        .map(|(route, seen)| format!("{route} new {} old {}", counts(seen.new), counts(seen.old)));
+    routes.collect::<Vec<_>>().join(", ")
+}
--- a/crates/moves/src/guard.rs
+++ b/crates/moves/src/guard.rs
@@ -102,6 +102,11 @@
         self.stopped = true;
     }
 
+    /// Returns what the node has counted.
+    pub fn evidence(&self) -> &Evidence {
+        &self.evidence
+    }
+
     /// Returns whether the new version is stopped at this node.
     pub fn is_stopped(&self) -> bool {
         self.stopped
