--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod farm;
+pub mod fleet;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -122,7 +123,8 @@
     pub notes: Vec<Note>,
     pub decisions: Vec<MoveDecision>,
     pub reports: Vec<MoveReport>,
-    next: u64,
+    /// Routes of the requests sent, by token.
+    routes: Vec<String>,
 }
 
 impl Node {
@@ -148,7 +150,7 @@
             notes: Vec::new(),
             decisions: Vec::new(),
             reports: Vec::new(),
-            next: 0,
+            routes: Vec::new(),
         };
         assert!(node.edge.set_config(config));
         node.edge.close_domains(HashSet::new());
@@ -188,8 +190,8 @@
 
     /// Sends a request whose caller waits for `patience`.
     pub fn request_within(&mut self, route: &str, patience: Duration) -> Token {
-        let token = Token(self.next);
-        self.next += 1;
+        let token = Token(self.routes.len() as u64);
+        self.routes.push(route.to_owned());
         let path = format!("/{route}/x");
         self.step(|edge, now, out| {
             let inquiry = Inquiry {
@@ -205,6 +207,11 @@
         token
     }
 
+    /// Returns the route of a request that was sent.
+    pub fn route_of(&self, token: Token) -> &str {
+        &self.routes[token.0 as usize]
+    }
+
     /// Lets time pass and does what falls due.
     pub fn pass(&mut self, span: Duration) {
         let end = self.now + span;
--- /dev/null
+++ b/crates/edge/tests/fleet.rs
@@ -0,0 +1,81 @@
+//! Version moves on a fleet: what a bad version gets of all nodes together, and good versions in time.
+
+mod common;
+
+use common::fleet::{Badness, DURATION, Fleet, Load, Played, Trouble};
+use rstest::rstest;
+
+/// A shard of a small site, the same with few and with many requests.
+const SHARD: Load = Load { nodes: 9, rate: 90 };
+const FEW: Load = Load { nodes: 9, rate: 30 };
+const MANY: Load = Load {
+    nodes: 9,
+    rate: 200,
+};
+/// Fewer requests than nodes in a second.
+const SPARSE: Load = Load {
+    nodes: 40,
+    rate: 11,
+};
+
+fn assert_within(played: &Played) {
+    assert!(played.is_within(), "{played:?}");
+    assert!(played.bad == 0 || played.arrivals > 0);
+}
+
+/// A bad version gets at most a tenth of the requests and 50 of all nodes together, and none later than five
+/// seconds after its fiftieth bad answer.
+#[rstest]
+fn exposure_of_a_bad_version_is_bounded(
+    #[values(SHARD, FEW, MANY, SPARSE)] load: Load,
+    #[values(
+        Badness::Fails(30, 0),
+        Badness::Fails(30, 7_500),
+        Badness::Fails(5, 0),
+        Badness::Fails(100, 0),
+        Badness::Slow(4, 0),
+        Badness::Slow(4, 7_500),
+        Badness::UnderLoad(40),
+        Badness::OneRoute(60)
+    )]
+    badness: Badness,
+    #[values(
+        Trouble::Calm,
+        Trouble::StoreAway(0, 24_000),
+        Trouble::StoreAway(3_000, 8_000),
+        Trouble::TurnsAway(1_000),
+        Trouble::LosesAnswers(0, 24_000),
+        Trouble::OldLost(2_000, 7_000),
+        Trouble::OldLost(2_000, 24_000),
+        Trouble::HalfRestart(7_300),
+        Trouble::AllRestart(5_000),
+        Trouble::RestartStoreAway(7_300),
+        Trouble::LateOrder(5_000),
+        Trouble::Clocks(2_400)
+    )]
+    trouble: Trouble,
+) {
+    assert_within(&Fleet::new(load, badness, trouble).play());
+}
+
+/// A good version is completed by its deadline, as far as the store is there to be told.
+#[rstest]
+fn good_version_is_completed_on_schedule(
+    #[values(SHARD, FEW, MANY, SPARSE)] load: Load,
+    #[values(
+        Trouble::Calm,
+        Trouble::StoreAway(3_000, 8_000),
+        Trouble::TurnsAway(1_000),
+        Trouble::LosesAnswers(2_000, 8_000),
+        Trouble::OldLost(2_000, 7_000),
+        Trouble::HalfRestart(7_300),
+        Trouble::LateOrder(5_000),
+        Trouble::Clocks(2_400)
+    )]
+    trouble: Trouble,
+) {
+    let played = Fleet::new(load, Badness::Good, trouble).play();
+    let is_in_time = played.completed.is_some_and(|at| at <= DURATION);
+    assert!(is_in_time, "{played:?}");
+    assert_eq!(played.rolled_back, None);
+}
