--- a/programs/standin/src/ports.rs
+++ b/programs/standin/src/ports.rs
@@ -7,9 +7,9 @@
 /// connection takes one between the look and its use.
 const FIRST: u16 = 10_000;
 /// Ports of one process.
-const PER_PROCESS: u16 = 200;
+const PER_PROCESS: u16 = 400;
 /// Processes that use different ports.
-const PROCESSES: u32 = 100;
+const PROCESSES: u32 = 55;
 
 /// Returns the lowest port of this process's own ports. It is held, so that no other process hands out
 /// ports above it, not even one whose owner does not listen for a moment.
