--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -10,6 +10,7 @@
 use crate::config::Name;
 use crate::segment::SegmentCall;
 use crate::shift::{MoveDecision, MoveReport};
+use crate::trial::MovePost;
 
 /// `Token` identifies a caller's request within the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -194,6 +195,11 @@
     Note(Token, Note),
     /// Ask for a change of a version move's state.
     Move(MoveDecision),
+    /// Write to the ledger of a version move, and tell [`Edge::posted`](crate::Edge::posted).
+    Post(MovePost),
+    /// Ask the store for the orders of version moves as they are now, and tell
+    /// [`Edge::orders_told`](crate::Edge::orders_told).
+    AskOrders,
     /// Log how far a version move has come.
     Report(MoveReport),
 }
--- a/crates/edge/src/edge/arrive.rs
+++ b/crates/edge/src/edge/arrive.rs
@@ -93,7 +93,7 @@
         if !is_part {
             self.earn(services, now);
         }
-        if let Some(reply) = self.rejection(route, &targets, is_part) {
+        if let Some(reply) = self.rejection(route, &targets, is_part, now) {
             let summary = Summary {
                 route: Some(route.name.clone()),
                 version: config.version,
@@ -205,6 +205,7 @@
         route: &Rc<Route>,
         targets: &Targets,
         is_part: bool,
+        now: Time,
     ) -> Option<Reply> {
         let services = &targets.services;
         let needed = match &route.target {
@@ -217,8 +218,9 @@
         let mut behind = 0;
         let mut longest = Duration::ZERO;
         for (service, _) in services {
-            let leafs = self.directory.usable(service);
+            let leafs = self.callable(service, now);
             if leafs.is_empty() {
+                self.shifts.missed(service);
                 dead += 1;
                 continue;
             }
--- a/crates/edge/src/edge/beliefs.rs
+++ b/crates/edge/src/edge/beliefs.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 
 use monsoondeal_core::{LeafId, Time};
+use monsoondeal_moves::{Posted, Terms};
+use rand::RngExt;
 
 use super::{Edge, EdgeSettings};
 use crate::action::Action;
@@ -11,6 +13,7 @@
 use crate::directory::{LeafEntry, Removal};
 use crate::segment::{Peer, place, segment_shards};
 use crate::shift::MoveOrder;
+use crate::trial::{MovePost, Trial};
 
 impl Edge {
     /// Puts a configuration in force unless a newer one is. Returns whether it was put in force.
@@ -61,10 +64,12 @@
     /// Adds or updates a leaf.
     pub fn upsert_leaf(&mut self, entry: LeafEntry, now: Time, out: &mut Vec<Action>) {
         let service = entry.service.clone();
+        self.shifts.saw(&service, &entry.version, now);
         if let Some(replaced) = self.directory.upsert(entry, now) {
             self.retire(replaced, out);
         }
         self.pump(&service, now, out);
+        self.decide_moves(now, out);
     }
 
     /// Notes that a leaf's entry vanished from the registry.
@@ -79,9 +84,13 @@
     /// Replaces all leafs by a full listing.
     pub fn replace_leafs(&mut self, entries: Vec<LeafEntry>, now: Time, out: &mut Vec<Action>) {
         self.knows_leafs = true;
+        for entry in &entries {
+            self.shifts.saw(&entry.service, &entry.version, now);
+        }
         for id in self.directory.replace(entries, now) {
             self.retire(id, out);
         }
+        self.decide_moves(now, out);
     }
 
     /// Notes that the registry was out of reach, see [`Directory::doubt`].
@@ -97,13 +106,60 @@
 
     /// Replaces the version moves that are asked for.
     pub fn set_moves(&mut self, orders: Vec<MoveOrder>, now: Time, out: &mut Vec<Action>) {
-        self.shifts.set(orders, now);
+        let terms = |order: &MoveOrder| Terms {
+            duration: order.duration,
+            share: self.settings.exposure_share,
+            slack: self.settings.exposure_slack,
+            nodes: self.callers(&order.service),
+        };
+        let orders: Vec<(MoveOrder, Terms)> = orders
+            .into_iter()
+            .map(|order| {
+                let terms = terms(&order);
+                (order, terms)
+            })
+            .collect();
+        let (shares, rng, poster) = (&self.shares, &mut self.rng, self.settings.seed);
+        self.shifts.set(orders, now, |service, terms| {
+            let is_busy = shares.is_used(service, now);
+            Trial::new(terms, poster, is_busy, rng.random(), now)
+        });
         self.decide_moves(now, out);
     }
 
+    /// Takes in the answer to a posting of [`Action::Post`]; `None` if it may not have been written.
+    pub fn posted(
+        &mut self,
+        post: &MovePost,
+        answer: Option<&Posted>,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let chance = self.rng.random();
+        self.shifts.posted(post, answer, chance, now);
+        // Calls may wait for the permits.
+        self.pump(&post.service, now, out);
+        self.decide_moves(now, out);
+    }
+
+    /// Takes in the orders that the store was asked for by [`Action::AskOrders`] at `asked_at`.
+    pub fn orders_told(
+        &mut self,
+        orders: Vec<MoveOrder>,
+        asked_at: Time,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        self.set_moves(orders, now, out);
+        self.shifts.orders_told(asked_at);
+    }
+
     /// Returns whether the node knows enough to serve requests.
     pub fn is_ready(&self) -> bool {
-        self.config.is_some() && self.knows_leafs && self.knows_domains
+        self.config.is_some()
+            && self.knows_leafs
+            && self.knows_domains
+            && self.shifts.knows_orders()
     }
 
     pub(super) fn retire(&mut self, id: LeafId, out: &mut Vec<Action>) {
@@ -113,6 +169,11 @@
     }
 
     pub(super) fn decide_moves(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.shifts.ask_orders(now) {
+            out.push(Action::AskOrders);
+        }
+        let posts = self.shifts.posts(now);
+        out.extend(posts.into_iter().map(Action::Post));
         let decisions = self.shifts.decide(now);
         out.extend(decisions.into_iter().map(Action::Move));
         let reports = self.shifts.report(now);
--- a/crates/edge/src/edge/launch.rs
+++ b/crates/edge/src/edge/launch.rs
@@ -11,6 +11,7 @@
 use crate::config::{Config, Name, Service};
 use crate::segment::{SegmentCall, callers, is_segment};
 use crate::share::Shares;
+use crate::shift::Leafs;
 
 /// Connections assumed for a service that the configuration does not describe.
 const FALLBACK_CONNECTIONS: usize = 8;
@@ -25,6 +26,10 @@
 const LEAST_COLD_RATE: f64 = 0.01;
 /// Factor on the time between two calls to a cold leaf, for calls that take unequally long to arrive.
 const COLD_SPACING: f64 = 1.05;
+/// Longest time that a call waits for a permit to call a version on trial.
+const PERMIT_WAIT: Duration = Duration::from_millis(25);
+/// Longest part of the route's objective that this takes.
+const PERMIT_PART: f64 = 0.25;
 /// Time between two looks at a shard that waits for a leaf.
 const WAIT_LOOK: Duration = Duration::from_millis(20);
 
@@ -95,25 +100,41 @@
         self.cold_next.insert(id, now + pause);
     }
 
+    /// Returns those of a service's leafs that a call may go to.
+    pub(super) fn callable(&mut self, service: &str, now: Time) -> Leafs {
+        let usable = self.directory.usable(service);
+        self.shifts.sort(service, usable, &self.directory, now)
+    }
+
     /// Sends a call for a shard, or lets it wait for a leaf.
     pub(super) fn launch(&mut self, token: Token, at: usize, now: Time, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&token) else {
             return;
         };
         let shard = &job.shards[at];
-        let usable = self.directory.usable(&shard.service);
-        let untried = usable.iter().filter(|id| !shard.tried.contains(id));
-        let untried: SmallVec<[LeafId; 4]> = untried.copied().collect();
-        let is_first = shard.tries == 0;
-        let leafs = self
-            .shifts
-            .choose(&shard.service, untried, &self.directory, is_first, now);
+        let (service, is_first) = (shard.service.clone(), shard.tries == 0);
+        let tried = shard.tried.clone();
+        let waited = now.since(job.began);
+        let longest = PERMIT_WAIT.min(job.route.objective.mul_f64(PERMIT_PART));
+        let leafs = self.callable(&service, now);
+        let may_wait = is_first && waited < longest && leafs.trial.is_empty();
+        if may_wait && self.shifts.awaits_permit(&service, now) {
+            self.wait(token, at, now + (longest - waited));
+            return;
+        }
+        let trial = if is_first {
+            leafs.trial.clone()
+        } else {
+            SmallVec::new()
+        };
+        let mut leafs = leafs.without_trial();
+        leafs.retain(|id| !tried.contains(id));
         if leafs.is_empty() {
             self.lose(token, at, "no leaf is left", out);
             return;
         }
-        let service = shard.service.clone();
-        match self.pick(&leafs, &service, now) {
+        let picked = self.pick(&trial, &service, now);
+        match picked.or_else(|| self.pick(&leafs, &service, now)) {
             Some(leaf) => self.send(token, at, leaf, now, out),
             None => self.wait(token, at, now + WAIT_LOOK),
         }
@@ -180,7 +201,8 @@
             segment,
         }));
         self.counts.calls += 1;
-        self.counts.trials += u64::from(self.shifts.sent(&service, &entry.version));
+        let version = entry.version.clone();
+        self.counts.trials += u64::from(self.shifts.sent(&service, &version, now));
         self.choice.sent(leaf);
         self.calls.insert(
             id,
@@ -189,6 +211,7 @@
                 shard: at,
                 leaf,
                 service: service.clone(),
+                version,
                 route: job.pace.clone(),
                 sent_at: now,
                 is_overdue: false,
--- a/crates/edge/src/edge/look.rs
+++ b/crates/edge/src/edge/look.rs
@@ -85,14 +85,9 @@
         }
         let after = now.since(shard.sent_at);
         let service = shard.service.clone();
-        let usable = self.directory.usable(&service);
-        let sound: SmallVec<[LeafId; 4]> = usable
-            .into_iter()
-            .filter(|id| !shard.tried.contains(id) && !self.choice.is_doubtful(*id, now))
-            .collect();
-        let sound = self
-            .shifts
-            .choose(&service, sound, &self.directory, false, now);
+        let tried = shard.tried.clone();
+        let mut sound: SmallVec<[LeafId; 4]> = self.callable(&service, now).without_trial();
+        sound.retain(|id| !tried.contains(id) && !self.choice.is_doubtful(*id, now));
         let Some(leaf) = self.pick(&sound, &service, now) else {
             return;
         };
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -40,6 +40,10 @@
     pub repeat_ratio: f64,
     /// Repeats allowed beyond the ratio, over all nodes.
     pub repeat_slack: f64,
+    /// Share of a service's calls that a bad version may get, of all nodes together.
+    pub exposure_share: f64,
+    /// Calls that it may get beyond that.
+    pub exposure_slack: f64,
     /// Factor on the rate that a cold leaf bears.
     pub cold_factor: f64,
     /// Requests that a cold leaf bears in one second beyond that, from all nodes together.
@@ -61,6 +65,8 @@
             nodes: 10,
             repeat_ratio: 0.1,
             repeat_slack: 10.0,
+            exposure_share: 0.1,
+            exposure_slack: 0.0,
             cold_factor: 1.0,
             cold_slack: 0.0,
             address_reuse: Duration::from_secs(2),
@@ -124,6 +130,8 @@
     shard: usize,
     leaf: LeafId,
     service: Name,
+    /// Version of the leaf.
+    version: Name,
     route: Name,
     sent_at: Time,
     is_overdue: bool,
--- a/crates/edge/src/edge/outcome.rs
+++ b/crates/edge/src/edge/outcome.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use monsoondeal_core::{CallId, LeafId, Time};
-use monsoondeal_moves::Outcome;
 
 use super::{Call, Edge, LINGER};
 use crate::action::{Action, CallEnd, Note, Token};
@@ -12,7 +11,9 @@
 use crate::choice::Verdict;
 use crate::config::Name;
 use crate::job::ShardState;
+use crate::pace::Pace;
 use crate::segment::is_segment;
+use crate::trial::CallResult;
 
 /// Most calls sent for one shard of a request, refused ones included.
 const MOST_TRIES: usize = 4;
@@ -27,7 +28,7 @@
         };
         let response = now.since(call.sent_at);
         self.count_end(&end);
-        self.note_move(&call, &end, response);
+        self.note_move(&call, &end, response, now);
         self.note_life(&call, &end, now);
         let verdict = self.judge(&call, &end, response, now);
         self.choice.ended(call.leaf, verdict, call.is_overdue, now);
@@ -154,7 +155,6 @@
         let Some(job) = self.jobs.get_mut(&token) else {
             return;
         };
-        let shard = &mut job.shards[at];
         job.retries += 1;
         self.counts.retries += 1;
         out.push(Action::Note(
@@ -165,7 +165,11 @@
                 is_repeat,
             },
         ));
-        let usable = self.directory.usable(&call.service);
+        let usable = self.callable(&call.service, now).without_trial();
+        let Some(job) = self.jobs.get_mut(&token) else {
+            return;
+        };
+        let shard = &mut job.shards[at];
         let is_untried = |id: &LeafId| !shard.tried.contains(id);
         if shard.runs == 0 && !usable.is_empty() && !usable.iter().any(is_untried) {
             // All leafs refused; one may have room a moment later.
@@ -213,7 +217,7 @@
             return;
         };
         let elapsed = now.since(call.sent_at);
-        self.note_move(&call, &CallEnd::Broken, elapsed);
+        self.note_move(&call, &CallEnd::Broken, elapsed, now);
         let pace = self.paces.get(&call.route);
         let slowness = pace.map_or(1.0, |pace| pace.slowness(elapsed));
         let verdict = Verdict::Abandoned(slowness);
@@ -259,23 +263,32 @@
         }
     }
 
-    /// Counts the end of a call as evidence on the version of its leaf.
-    pub(super) fn note_move(&mut self, call: &Call, end: &CallEnd, response: Duration) {
+    /// Tells the version move of a call's service how the call ended.
+    pub(super) fn note_move(&mut self, call: &Call, end: &CallEnd, response: Duration, now: Time) {
         let failed = match end {
-            CallEnd::Answer(answer) => !answer.is_success(),
-            CallEnd::Broken | CallEnd::TooLarge => true,
+            CallEnd::Answer(answer) => Some(!answer.is_success()),
+            CallEnd::Broken | CallEnd::TooLarge => Some(true),
             CallEnd::Refused
             | CallEnd::Misdirected
             | CallEnd::Unsent
             | CallEnd::Unchecked
-            | CallEnd::Displaced => return,
+            | CallEnd::Displaced => None,
+        };
+        let arrived = !matches!(
+            end,
+            CallEnd::Unsent | CallEnd::Unchecked | CallEnd::Displaced
+        );
+        // A cold leaf is slow whatever its version.
+        let is_cold = self.directory.is_cold(call.leaf, now);
+        let outcome = failed.filter(|failed| *failed || !is_cold);
+        let result = CallResult {
+            arrived,
+            outcome: outcome.map(|failed| (response, failed)),
         };
         let pace = self.paces.get(&call.route);
-        let slow = pace.is_some_and(|pace| pace.is_slow(response));
-        let version = self.directory.entry(call.leaf).map(|e| &e.version);
-        let outcome = Outcome { failed, slow };
-        self.shifts
-            .note(&call.service, &call.route, version, outcome);
+        let before = || pace.map(Pace::times).unwrap_or_default();
+        let place = (&*call.service, &*call.route);
+        self.shifts.note(place, &call.version, result, now, before);
     }
 
     pub(super) fn count_end(&mut self, end: &CallEnd) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,8 @@
 mod share;
 mod shift;
 mod split;
+mod trial;
+mod versions;
 
 pub use action::{Action, Answer, CallEnd, Inquiry, Note, Reply, Send, Summary, Token};
 pub use admit::{Admission, Sign};
@@ -31,3 +33,4 @@
 pub use share::Shares;
 pub use shift::{MoveCause, MoveCount, MoveDecision, MoveOrder, MoveReport, MoveState};
 pub use split::Splits;
+pub use trial::MovePost;
--- a/crates/edge/src/pace.rs
+++ b/crates/edge/src/pace.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use monsoondeal_core::Time;
+use monsoondeal_moves::Times;
 use monsoondeal_route::ResponseQuantile;
 
 /// A call is overdue after this multiple of the median response time. Even calls stay below it; a
@@ -24,7 +25,6 @@
 #[derive(Clone, Debug)]
 pub struct Pace {
     median: ResponseQuantile,
-    third_quartile: ResponseQuantile,
     first: Duration,
     /// The response time without overload, in seconds; zero until it is known.
     usual: f64,
@@ -41,7 +41,6 @@
         };
         Self {
             median: ResponseQuantile::above(0.5),
-            third_quartile: ResponseQuantile::above(0.25),
             first: objective.mul_f64(share),
             usual: 0.0,
             updated: Time::default(),
@@ -51,7 +50,6 @@
     /// Notes the response time of a call that was answered.
     pub fn note(&mut self, response: Duration, now: Time) {
         self.median.note(response);
-        self.third_quartile.note(response);
         let Some(median) = self.median.value() else {
             return;
         };
@@ -66,6 +64,15 @@
         self.updated = now;
     }
 
+    /// Returns the latest response times.
+    pub fn times(&self) -> Times {
+        let mut times = Times::default();
+        self.median
+            .latest()
+            .for_each(|response| times.add(response));
+        times
+    }
+
     /// Returns the response time without overload, as far as it is known.
     pub fn usual(&self) -> Duration {
         if self.usual == 0.0 {
@@ -84,13 +91,6 @@
         self.median().mul_f64(OVERDUE_FACTOR).max(LEAST_DELAY)
     }
 
-    /// Returns whether three of four calls are faster.
-    pub fn is_slow(&self, response: Duration) -> bool {
-        self.third_quartile
-            .value()
-            .is_some_and(|quartile| response > quartile)
-    }
-
     /// Returns the multiple of the usual response time.
     pub fn slowness(&self, response: Duration) -> f64 {
         response.as_secs_f64() / self.median().as_secs_f64().max(1e-6)
--- a/crates/edge/src/share.rs
+++ b/crates/edge/src/share.rs
@@ -18,6 +18,8 @@
 const FIRST_PART: f64 = 0.25;
 /// Longest time that a service without requests keeps its budget: well above the span of the bound.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// How long a service counts as used after a request for it.
+const USED_SPAN: Duration = Duration::from_secs(10);
 
 /// `Shares` holds the node's part of connections and of repeats.
 ///
@@ -69,6 +71,12 @@
         (all / callers.max(1)).max(1)
     }
 
+    /// Returns whether the node has had requests for a service lately.
+    pub fn is_used(&self, service: &str, now: Time) -> bool {
+        let budget = self.budgets.get(service);
+        budget.is_some_and(|(_, used)| now.since(*used) < USED_SPAN)
+    }
+
     /// Counts a request for a service that `callers` nodes call.
     pub fn earn(&mut self, service: &Name, callers: usize, now: Time) {
         self.sweep(now);
--- a/crates/edge/src/shift.rs
+++ b/crates/edge/src/shift.rs
@@ -1,29 +1,30 @@
 //! Version moves: which version of a service's leafs a request goes to.
 //!
-//! While a move runs, each node sends a small share of first calls to the new version, judges it by its
-//! own calls, and asks to take the move back as soon as they show a fault. Late in the move's time all
-//! traffic goes over, and the move is completed with time to spare. Hedges and retries stay with the
-//! old version, so that a bad one costs a caller at most one call.
+//! While a move runs, a call goes to the new version only with a permit of the move's ledger, which all
+//! nodes share ([`monsoondeal_moves::Ledger`]). Hedges and retries stay with the old version while there is
+//! one, so that a bad one costs a caller at most one call.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use monsoondeal_core::{LeafId, Time};
-use monsoondeal_moves::{Evidence, Grant, Guard, Outcome, VerdictSettings};
+use monsoondeal_moves::{Posted, Ruling, Terms, Times, Totals};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::config::Name;
 use crate::directory::Directory;
+use crate::trial::{CallResult, MovePost, Trial};
+use crate::versions::Versions;
 
-/// Share of first calls that go to a version on trial.
-const TRIAL_SHARE: f64 = 0.07;
-/// Part of the move's time that the trial takes.
-const TRIAL_PART: f64 = 0.6;
-/// Part of the move's time after which it is completed. The rest is for a slow store.
-const COMPLETE_PART: f64 = 0.75;
 /// Time between two reports of what a running move has got.
 const COUNT_PERIOD: Duration = Duration::from_secs(1);
+/// Part of the move's time in which new leafs that are cold are not called.
+const WARM_PART: f64 = 0.4;
+/// Time after which a node notes that a move runs if nobody has, and the longest part of the move's time that
+/// this may be.
+const NOTE_TIME: Duration = Duration::from_secs(1);
+const NOTE_PART: f64 = 0.1;
 
 /// `MoveState` is how far a version move has come, as all nodes know it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
@@ -38,16 +39,25 @@
     RolledBack,
 }
 
+impl MoveState {
+    /// Returns whether nothing follows.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::RolledBack)
+    }
+}
+
 /// `MoveOrder` asks to move a service to another version of its leafs.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct MoveOrder {
     /// The service.
     pub service: Name,
+    /// Grows with each order of the service.
+    pub id: u64,
     /// The new version.
     pub version: Name,
     /// Time from the order within which the move must be completed.
     pub duration: Duration,
-    /// How long the move has been running when this was learnt.
+    /// How long the order has been known at least.
     pub elapsed: Duration,
     /// How far it has come.
     pub state: MoveState,
@@ -58,23 +68,19 @@
 pub enum MoveCause {
     /// The order is new.
     Ordered,
-    /// The node's own calls show a fault of the new version.
-    Evidence,
-    /// The time has come.
-    Time,
+    /// The ledger of the move rules so.
+    Ruled(Ruling),
 }
 
-/// `MoveCount` is what a node has sent and seen in a version move.
+/// `MoveCount` is what has been sent and seen in a version move.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MoveCount {
-    /// Calls to the service.
+    /// Calls of this node to the service.
     pub calls: u64,
-    /// Calls to the new version among them.
+    /// Calls of this node to the new version among them.
     pub trials: u64,
-    /// Calls to the new version that no share was asked for, since no other leaf was left.
-    pub forced: u64,
-    /// Ends of calls to both versions, by route.
-    pub evidence: Evidence,
+    /// What all nodes together had sent and seen when this node last posted.
+    pub totals: Totals,
 }
 
 /// `MoveDecision` is a change of a version move's state that the node asks for.
@@ -88,7 +94,7 @@
     pub state: MoveState,
     /// Why.
     pub cause: MoveCause,
-    /// What the node has sent and seen until now.
+    /// What has been sent and seen until now.
     pub count: MoveCount,
 }
 
@@ -101,7 +107,7 @@
     pub version: Name,
     /// Time since the order as the node knows it.
     pub elapsed: Duration,
-    /// What the node has sent and seen until now.
+    /// What has been sent and seen until now.
     pub count: MoveCount,
 }
 
@@ -109,74 +115,85 @@
 #[derive(Debug)]
 struct Move {
     order: MoveOrder,
-    began: Time,
-    guard: Guard,
+    trial: Trial,
+    seen_at: Time,
+    /// Versions that the service had before the move was completed. Their leafs stop at once.
+    former: SmallVec<[Name; 2]>,
+    /// Why the state was asked for that the move has here.
+    cause: MoveCause,
     /// The latest state asked for.
     wanted: Option<MoveState>,
-    calls: u64,
-    trials: u64,
-    forced: u64,
     /// Calls when the move was last reported, and when that was.
     reported: (u64, Time),
 }
 
 impl Move {
-    fn new(order: MoveOrder, now: Time) -> Self {
-        Self {
-            began: now - order.elapsed,
-            guard: Guard::new(VerdictSettings::default()),
-            wanted: None,
-            calls: 0,
-            trials: 0,
-            forced: 0,
-            reported: (0, now),
-            order,
+    fn is_running(&self) -> bool {
+        !self.order.state.is_final()
+    }
+
+    /// Notes which versions are left behind, once the move is completed.
+    fn complete(&mut self, versions: &mut Versions) {
+        if self.order.state == MoveState::Completed && self.former.is_empty() {
+            self.former = versions.moved(&self.order.service, &self.order.version);
         }
     }
 
+    /// Returns when this node notes that the move runs if nobody has.
+    fn note_time(&self) -> Time {
+        self.seen_at + NOTE_TIME.min(self.order.duration.mul_f64(NOTE_PART))
+    }
+
+    fn is_of(&self, order: &MoveOrder) -> bool {
+        self.order.version == order.version && self.order.id == order.id
+    }
+
     fn count(&self) -> MoveCount {
         MoveCount {
-            calls: self.calls,
-            trials: self.trials,
-            forced: self.forced,
-            evidence: self.guard.evidence().clone(),
+            calls: self.trial.calls,
+            trials: self.trial.trials,
+            totals: self.trial.totals.clone(),
         }
     }
 
-    fn is_running(&self) -> bool {
-        matches!(self.order.state, MoveState::Asked | MoveState::Running)
+    /// Takes in what the store tells. What this node knows to be final stays, unless the store tells of
+    /// another end.
+    fn update(&mut self, order: MoveOrder, now: Time) {
+        self.trial.note_elapsed(order.elapsed, now);
+        let state = match (self.order.state, order.state) {
+            (held, told) if held.is_final() && !told.is_final() => held,
+            (_, told) => told,
+        };
+        self.order = MoveOrder { state, ..order };
     }
+}
+
+/// `Leafs` are those of a service's leafs that a call may go to.
+#[derive(Debug, Default)]
+pub(crate) struct Leafs {
+    /// Leafs that any call may go to.
+    pub(crate) usual: SmallVec<[LeafId; 4]>,
+    /// Leafs on trial, for first calls, and for others while there are no usual ones.
+    pub(crate) trial: SmallVec<[LeafId; 4]>,
+}
 
-    /// Returns the part of the move's time that has passed.
-    fn part(&self, now: Time) -> f64 {
-        let duration = self.order.duration.as_secs_f64().max(1e-3);
-        now.since(self.began).as_secs_f64() / duration
+impl Leafs {
+    /// Returns whether there is none.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.usual.is_empty() && self.trial.is_empty()
     }
 
-    fn goes_to_new(&mut self, now: Time) -> bool {
-        match self.order.state {
-            MoveState::Completed => true,
-            MoveState::RolledBack => false,
-            MoveState::Asked | MoveState::Running => {
-                let share = if self.part(now) < TRIAL_PART {
-                    TRIAL_SHARE
-                } else {
-                    1.0
-                };
-                self.guard.on_grant(Grant { share }, now);
-                self.guard.pick_new(now)
-            }
-        }
+    /// Returns the number of leafs.
+    pub(crate) fn len(&self) -> usize {
+        self.usual.len() + self.trial.len()
     }
 
-    /// Returns the state that the move should have now, and why.
-    fn due(&self, now: Time) -> (MoveState, MoveCause) {
-        if self.guard.is_stopped() {
-            (MoveState::RolledBack, MoveCause::Evidence)
-        } else if self.part(now) >= COMPLETE_PART {
-            (MoveState::Completed, MoveCause::Time)
+    /// Drops those on trial unless there are no others.
+    pub(crate) fn without_trial(self) -> SmallVec<[LeafId; 4]> {
+        if self.usual.is_empty() {
+            self.trial
         } else {
-            (MoveState::Running, MoveCause::Ordered)
+            self.usual
         }
     }
 }
@@ -184,132 +201,286 @@
 /// `Shifts` are the version moves that the node knows of.
 #[derive(Debug, Default)]
 pub(crate) struct Shifts {
+    /// The latest move of each service, also once it is over.
     moves: HashMap<Name, Move>,
+    versions: Versions,
 }
 
 impl Shifts {
-    /// Replaces the orders. What is known of a move that goes on is kept.
-    pub(crate) fn set(&mut self, orders: Vec<MoveOrder>, now: Time) {
-        let mut held = std::mem::take(&mut self.moves);
-        for order in orders {
-            let known = held
-                .remove(&order.service)
-                .filter(|known| known.order.version == order.version);
-            let mut shift = match known {
-                Some(known) => Move { order, ..known },
-                None => Move::new(order, now),
-            };
-            if shift.order.state == MoveState::RolledBack {
-                shift.guard.stop();
+    /// Returns whether the orders have been listed.
+    pub(crate) fn knows_orders(&self) -> bool {
+        self.versions.knows_orders()
+    }
+
+    /// Notes the version of a leaf.
+    pub(crate) fn saw(&mut self, service: &Name, version: &Name, now: Time) {
+        let is_moved = |shift: &Move| shift.order.version == *version;
+        if !self.moves.get(service).is_some_and(is_moved) {
+            self.versions.saw(service, version, now);
+        }
+    }
+
+    /// Replaces the orders, each with what its move must keep to. `begin` creates a node's side of a move
+    /// that is new to it.
+    pub(crate) fn set<F>(&mut self, orders: Vec<(MoveOrder, Terms)>, now: Time, mut begin: F)
+    where
+        F: FnMut(&Name, Terms) -> Trial,
+    {
+        self.versions.note_orders();
+        // A version whose order was withdrawn is not to be called.
+        let is_listed = |name: &Name| orders.iter().any(|(order, _)| order.service == *name);
+        for (name, shift) in &mut self.moves {
+            if shift.is_running() && !is_listed(name) {
+                shift.order.state = MoveState::RolledBack;
+                shift.wanted = Some(MoveState::RolledBack);
             }
-            self.moves.insert(shift.order.service.clone(), shift);
+        }
+        for (order, terms) in orders {
+            self.set_one(order, terms, now, &mut begin);
         }
     }
 
+    fn set_one<F>(&mut self, order: MoveOrder, terms: Terms, now: Time, begin: &mut F)
+    where
+        F: FnMut(&Name, Terms) -> Trial,
+    {
+        let service = order.service.clone();
+        self.versions.on_trial(&service, &order.version);
+        let mut shift = match self.moves.remove(&service) {
+            Some(mut held) if held.is_of(&order) => {
+                held.trial.set_terms(terms);
+                held.update(order, now);
+                held
+            }
+            _ => {
+                let mut trial = begin(&service, terms);
+                trial.note_elapsed(order.elapsed, now);
+                Move {
+                    trial,
+                    seen_at: now,
+                    former: SmallVec::new(),
+                    cause: MoveCause::Ordered,
+                    wanted: None,
+                    reported: (0, now),
+                    order,
+                }
+            }
+        };
+        shift.complete(&mut self.versions);
+        self.moves.insert(service, shift);
+    }
+
     /// Returns those of a service's leafs that a call may go to.
-    pub(crate) fn choose(
+    pub(crate) fn sort(
         &mut self,
         service: &str,
         leafs: SmallVec<[LeafId; 4]>,
         directory: &Directory,
-        is_first: bool,
         now: Time,
-    ) -> SmallVec<[LeafId; 4]> {
-        let Some(shift) = self.moves.get_mut(service) else {
-            return leafs;
+    ) -> Leafs {
+        let shift = self.moves.get_mut(service);
+        if shift.is_none() && self.versions.are_proven(service) {
+            return Leafs {
+                usual: leafs,
+                ..Leafs::default()
+            };
+        }
+        let version = |id: &LeafId| directory.entry(*id).map(|entry| &entry.version);
+        let versions = &self.versions;
+        let is_proven =
+            |id: &LeafId| version(id).is_some_and(|v| !versions.is_unproven(service, v));
+        let Some(shift) = shift else {
+            let usual = leafs.into_iter().filter(is_proven).collect();
+            return Leafs {
+                usual,
+                ..Leafs::default()
+            };
+        };
+        let is_new = |id: &LeafId| match shift.order.state {
+            MoveState::Completed => version(id).is_none_or(|v| !shift.former.contains(v)),
+            _ => version(id) == Some(&shift.order.version),
         };
-        let version = &shift.order.version;
-        let is_new = |id: &LeafId| directory.entry(*id).is_some_and(|e| e.version == *version);
         let (new, old): (SmallVec<[LeafId; 4]>, SmallVec<[LeafId; 4]>) =
             leafs.into_iter().partition(is_new);
-        let is_over = shift.order.state == MoveState::Completed;
-        let wants_new = !new.is_empty() && (is_first || is_over) && shift.goes_to_new(now);
-        match (wants_new, old.is_empty(), shift.guard.is_stopped()) {
-            (true, ..) => new,
-            (false, true, false) => {
-                shift.forced += u64::from(!is_over && !new.is_empty());
-                new
+        let old: SmallVec<[LeafId; 4]> = old.into_iter().filter(is_proven).collect();
+        let (usual, trial) = match shift.order.state {
+            MoveState::Completed if new.is_empty() => (old, new),
+            MoveState::Completed => (new, SmallVec::new()),
+            MoveState::RolledBack => (old, SmallVec::new()),
+            MoveState::Asked | MoveState::Running => {
+                let warm_after = shift.order.duration.mul_f64(WARM_PART);
+                let may_be_cold = shift.trial.elapsed(now) >= warm_after;
+                let is_ready = |id: &LeafId| may_be_cold || !directory.is_cold(*id, now);
+                let trial: SmallVec<[LeafId; 4]> = new.into_iter().filter(is_ready).collect();
+                if shift.trial.has_permit() {
+                    (old, trial)
+                } else {
+                    if old.is_empty() && !trial.is_empty() {
+                        shift.trial.starve();
+                    }
+                    (old, SmallVec::new())
+                }
             }
-            (false, _, true) | (false, false, false) => old,
-        }
+        };
+        Leafs { usual, trial }
     }
 
     /// Counts a call that is sent to a leaf. Returns whether it goes to a version on trial.
-    pub(crate) fn sent(&mut self, service: &str, version: &Name) -> bool {
-        let Some(shift) = self.moves.get_mut(service) else {
+    pub(crate) fn sent(&mut self, service: &str, version: &Name, now: Time) -> bool {
+        let Some(shift) = self.moves.get_mut(service).filter(|s| s.is_running()) else {
             return false;
         };
-        let is_trial = shift.is_running() && shift.order.version == *version;
-        shift.calls += 1;
-        shift.trials += u64::from(is_trial);
-        is_trial
+        let is_new = shift.order.version == *version;
+        shift.trial.sent(is_new, now);
+        is_new
     }
 
-    /// Returns what is to be reported of running moves.
-    pub(crate) fn report(&mut self, now: Time) -> Vec<MoveReport> {
-        let due = self.moves.values_mut().filter(|shift| {
-            let (calls, at) = shift.reported;
-            shift.is_running() && shift.calls > calls && now >= at + COUNT_PERIOD
-        });
-        due.map(|shift| {
-            shift.reported = (shift.calls, now);
-            MoveReport {
+    /// Counts a call that was wanted and found no leaf.
+    pub(crate) fn missed(&mut self, service: &str) {
+        if let Some(shift) = self.moves.get_mut(service) {
+            shift.trial.missed();
+        }
+    }
+
+    /// Returns whether a first call is to wait for a permit.
+    pub(crate) fn awaits_permit(&mut self, service: &str, now: Time) -> bool {
+        let shift = self.moves.get_mut(service).filter(|s| s.is_running());
+        shift.is_some_and(|shift| shift.trial.awaits_permit(now))
+    }
+
+    /// Notes the end of a call to a leaf. `before` returns the route's response times until now.
+    pub(crate) fn note<F>(
+        &mut self,
+        (service, route): (&str, &str),
+        version: &Name,
+        result: CallResult,
+        now: Time,
+        before: F,
+    ) where
+        F: FnOnce() -> Times,
+    {
+        let Some(shift) = self.moves.get_mut(service).filter(|s| s.is_running()) else {
+            return;
+        };
+        let is_new = shift.order.version == *version;
+        shift.trial.note_before(route, before);
+        shift.trial.note(route, is_new, result, now);
+    }
+
+    /// Returns the postings that are due.
+    pub(crate) fn posts(&mut self, now: Time) -> Vec<MovePost> {
+        let running = self.moves.values_mut().filter(|shift| shift.is_running());
+        let posts = running.filter_map(|shift| {
+            let posting = shift.trial.post(now)?;
+            Some(MovePost {
                 service: shift.order.service.clone(),
+                id: shift.order.id,
                 version: shift.order.version.clone(),
-                elapsed: now.since(shift.began),
-                count: shift.count(),
-            }
-        })
-        .collect()
+                terms: *shift.trial.terms(),
+                posting,
+            })
+        });
+        posts.collect()
     }
 
-    /// Notes the end of a call to a leaf.
-    pub(crate) fn note(
+    /// Takes in the answer to a posting; `None` if it may not have been written.
+    pub(crate) fn posted(
         &mut self,
-        service: &str,
-        route: &str,
-        version: Option<&Name>,
-        outcome: Outcome,
+        post: &MovePost,
+        answer: Option<&Posted>,
+        chance: f64,
+        now: Time,
     ) {
-        let Some(shift) = self.moves.get_mut(service) else {
+        let is_of =
+            |shift: &&mut Move| shift.order.version == post.version && shift.order.id == post.id;
+        let Some(shift) = self.moves.get_mut(&post.service).filter(is_of) else {
             return;
         };
-        let is_new = version == Some(&shift.order.version);
-        shift.guard.note(route, is_new, outcome);
+        let Some(ruling) = shift.trial.posted(answer, chance, now) else {
+            return;
+        };
+        if !shift.is_running() {
+            return;
+        }
+        shift.cause = MoveCause::Ruled(ruling);
+        shift.order.state = if ruling == Ruling::Completed {
+            MoveState::Completed
+        } else {
+            MoveState::RolledBack
+        };
+        shift.complete(&mut self.versions);
+    }
+
+    /// Returns whether the orders are to be asked for, and notes that they are.
+    pub(crate) fn ask_orders(&mut self, now: Time) -> bool {
+        self.versions.ask(now)
+    }
+
+    /// Notes that the store has told the orders that it was asked for at `asked_at`, and that they are known.
+    pub(crate) fn orders_told(&mut self, asked_at: Time) {
+        self.versions.answered(asked_at);
     }
 
     /// Returns the states to ask for, each once.
     pub(crate) fn decide(&mut self, now: Time) -> Vec<MoveDecision> {
         let mut decisions = Vec::new();
         for shift in self.moves.values_mut() {
-            let is_final = matches!(
-                shift.order.state,
-                MoveState::Completed | MoveState::RolledBack
-            );
-            let (due, cause) = shift.due(now);
-            if is_final || due == shift.order.state || shift.wanted == Some(due) {
+            let Some(due) = due(shift, now) else {
                 continue;
-            }
+            };
             shift.wanted = Some(due);
             decisions.push(MoveDecision {
                 service: shift.order.service.clone(),
                 version: shift.order.version.clone(),
                 state: due,
-                cause,
+                cause: shift.cause,
                 count: shift.count(),
             });
         }
         decisions
     }
 
+    /// Returns what is to be reported of running moves.
+    pub(crate) fn report(&mut self, now: Time) -> Vec<MoveReport> {
+        let due = self.moves.values_mut().filter(|shift| {
+            let (calls, at) = shift.reported;
+            shift.is_running() && shift.trial.calls > calls && now >= at + COUNT_PERIOD
+        });
+        let reports = due.map(|shift| {
+            shift.reported = (shift.trial.calls, now);
+            MoveReport {
+                service: shift.order.service.clone(),
+                version: shift.order.version.clone(),
+                elapsed: shift.trial.elapsed(now),
+                count: shift.count(),
+            }
+        });
+        reports.collect()
+    }
+
     /// Returns when a move needs a look.
     pub(crate) fn next_look(&self) -> Option<Time> {
-        let running = self.moves.values().filter(|shift| {
-            matches!(shift.order.state, MoveState::Asked | MoveState::Running)
-                && matches!(shift.wanted, None | Some(MoveState::Running))
+        let running = self.moves.values().filter(|shift| shift.is_running());
+        let looks = running.flat_map(|shift| {
+            let is_noted = shift.order.state != MoveState::Asked || shift.wanted.is_some();
+            let note = (!is_noted).then(|| shift.note_time());
+            [shift.trial.next_post(), note]
         });
-        running
-            .map(|shift| shift.began + shift.order.duration.mul_f64(COMPLETE_PART))
-            .min()
+        looks.flatten().chain(self.versions.next_ask()).min()
     }
 }
+
+/// Returns the state to ask for, if there is one.
+fn due(shift: &Move, now: Time) -> Option<MoveState> {
+    let state = match (shift.order.state, shift.cause) {
+        (MoveState::Asked, _) => {
+            // One note is enough, and the process that began the ledger has the first say.
+            let is_first = shift.trial.totals.posters == 1;
+            let is_late = now >= shift.note_time();
+            (is_first || is_late).then_some(MoveState::Running)?
+        }
+        (MoveState::Running, _) | (_, MoveCause::Ordered) => return None,
+        (state, MoveCause::Ruled(_)) => state,
+    };
+    (shift.wanted != Some(state)).then_some(state)
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 use futures_channel::{mpsc, oneshot};
 use hyper::{HeaderMap, Method, Uri};
-use monsoondeal_core::CallId;
+use monsoondeal_core::{CallId, Time};
 use monsoondeal_edge::{
-    CallEnd, Config, EdgeSettings, LeafEntry, MoveDecision, MoveOrder, Name, Peer, Reply,
+    CallEnd, Config, EdgeSettings, LeafEntry, MoveDecision, MoveOrder, MovePost, Name, Peer, Reply,
     SegmentCall, Token,
 };
+use monsoondeal_moves::Posted;
 
 use serde::{Deserialize, Serialize};
 
@@ -58,8 +59,20 @@
 /// Sender of what is wanted of the store.
 pub type ReadingSender = mpsc::UnboundedSender<Reading>;
 
-/// Sender of decisions on version moves.
-pub type DecisionSender = mpsc::UnboundedSender<MoveDecision>;
+/// `MoveCall` is what the node has to say or to ask about version moves.
+#[derive(Debug)]
+pub enum MoveCall {
+    /// Note a change of a move's state, however long the store is away.
+    Note(MoveDecision),
+    /// Write to the ledger of a move, and tell the answer once it is written. No answer is told if it may not
+    /// have been written.
+    Post(Box<MovePost>, oneshot::Sender<Posted>),
+    /// Tell the orders as the store holds them now. No answer is told if they cannot be had.
+    Orders(oneshot::Sender<Vec<MoveOrder>>),
+}
+
+/// Sender of what there is to say or to ask about version moves.
+pub type MoveSender = mpsc::UnboundedSender<MoveCall>;
 
 /// Sender of updates.
 pub type UpdateSender = mpsc::UnboundedSender<Update>;
@@ -92,6 +105,10 @@
     /// A call ended; its connection is returned if it can be used again.
     CallEnded(CallId, CallEnd, Option<Connection>),
     Update(Update),
+    /// The answer to a posting to the ledger of a version move, if it was written.
+    Posted(Box<MovePost>, Option<Posted>),
+    /// The orders of version moves that were asked for at a time.
+    Orders(Vec<MoveOrder>, Time),
     /// A wish for the metrics in text form.
     Metrics(oneshot::Sender<String>),
     /// A wish for the state dump.
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -13,14 +13,18 @@
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use monsoondeal_core::{CallId, Clock, LeafId, Time};
-use monsoondeal_edge::{Action, CallEnd, Edge, Inquiry, Removal, Reply, Send, Summary, Token};
+use monsoondeal_edge::{
+    Action, CallEnd, Edge, Inquiry, MovePost, Removal, Reply, Send, Summary, Token,
+};
 
 use monsoondeal_node::metrics::Metrics;
 use monsoondeal_node::signals::SignalReceiver;
 
 use crate::counters::{self, Figures};
 use crate::error::GatewayError;
-use crate::event::{DecisionSender, Event, EventSender, Inbound, ReadingSender, Update, send};
+use crate::event::{
+    Event, EventSender, Inbound, MoveCall, MoveSender, ReadingSender, Update, send,
+};
 use crate::front::FrontState;
 use crate::leafs::Connection;
 use crate::logs::{Logs, millis, outcome};
@@ -39,7 +43,7 @@
 
 /// Runs a gateway until `stop` asks for a planned stop. `updates` tells what the node believes of its
 /// surroundings as far as it is read from the store, `reading` takes what is wanted of the store, and
-/// `decisions` what is decided on version moves.
+/// `moves` what there is to say and to ask about version moves.
 ///
 /// # Errors
 ///
@@ -48,7 +52,7 @@
     settings: GatewaySettings,
     updates: mpsc::UnboundedReceiver<Update>,
     reading: ReadingSender,
-    decisions: DecisionSender,
+    moves: MoveSender,
     stop: SignalReceiver,
 ) -> Result<(), GatewayError> {
     let (events, inbox) = mpsc::unbounded();
@@ -96,7 +100,7 @@
         calls: HashMap::new(),
         idle: HashMap::new(),
         stages: settings.stop,
-        decisions,
+        moves,
         stop: Stop::Running,
         close: Some(close),
     };
@@ -163,7 +167,7 @@
     /// Connections without a call, by leaf; the one used last stands last.
     idle: HashMap<LeafId, Vec<Connection>>,
     stages: StopSettings,
-    decisions: DecisionSender,
+    moves: MoveSender,
     stop: Stop,
     /// Ends the listener and idle connections when it is dropped.
     close: Option<oneshot::Sender<()>>,
@@ -224,6 +228,14 @@
                 self.step(|edge, now, out| edge.call_ended(call, end, now, out));
             }
             Event::Update(update) => self.on_update(update),
+            Event::Posted(post, answer) => {
+                logs::move_posted(&post, answer.as_ref());
+                self.step(|edge, now, out| edge.posted(&post, answer.as_ref(), now, out));
+            }
+            Event::Orders(orders, asked_at) => {
+                log::info!(orders:? = orders; "version moves asked for");
+                self.step(|edge, now, out| edge.orders_told(orders, asked_at, now, out));
+            }
             Event::Metrics(sender) => {
                 let _ = sender.send(self.metrics.export(self.figures()));
             }
@@ -367,10 +379,10 @@
             }
             Action::Move(decision) => {
                 logs::move_decided(&decision);
-                if self.decisions.unbounded_send(decision).is_err() {
-                    log::error!("a decision on a version move has nowhere to go");
-                }
+                self.tell_store(MoveCall::Note(decision));
             }
+            Action::Post(post) => self.post(post),
+            Action::AskOrders => self.ask_orders(),
             Action::Report(report) => logs::move_counted(&report),
             Action::Note(token, note) => {
                 if let Some(caller) = self.requests.get(&token) {
@@ -381,6 +393,39 @@
         }
     }
 
+    fn tell_store(&self, call: MoveCall) {
+        if self.moves.unbounded_send(call).is_err() {
+            log::error!("what there is to say about a version move has nowhere to go");
+        }
+    }
+
+    /// Posts to the ledger of a version move, and passes the answer on.
+    fn post(&self, post: MovePost) {
+        let (sender, answer) = oneshot::channel();
+        let post = Box::new(post);
+        self.tell_store(MoveCall::Post(post.clone(), sender));
+        let events = self.events.clone();
+        spawn(async move {
+            send(&events, Event::Posted(post, answer.await.ok()));
+        })
+        .detach();
+    }
+
+    /// Asks for the orders of version moves, and passes them on. The state machine asks again without an
+    /// answer.
+    fn ask_orders(&self) {
+        let (sender, answer) = oneshot::channel();
+        let asked_at = self.clock.now();
+        self.tell_store(MoveCall::Orders(sender));
+        let events = self.events.clone();
+        spawn(async move {
+            if let Ok(orders) = answer.await {
+                send(&events, Event::Orders(orders, asked_at));
+            }
+        })
+        .detach();
+    }
+
     fn call(&mut self, call: Send) {
         let Some(caller) = self.requests.get(&call.token) else {
             return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use dial::{connect, keep_alive};
 pub use error::GatewayError;
-pub use event::{DecisionSender, Reading, ReadingSender, Update, UpdateSender};
+pub use event::{MoveCall, MoveSender, Reading, ReadingSender, Update, UpdateSender};
 pub use hub::run;
 pub use monsoondeal_node::client::{handshake, read_body};
 pub use monsoondeal_node::signals::{SignalReceiver, Signals};
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use monsoondeal_edge::{LeafEntry, MoveDecision, MoveReport, Note, Reply, Summary};
-use monsoondeal_moves::{Evidence, Tally};
+use monsoondeal_edge::{LeafEntry, MoveDecision, MovePost, MoveReport, Note, Reply, Summary};
+use monsoondeal_moves::{Evidence, Posted, Tally};
 
 /// Most lines about requests in one span.
 const LINES: u32 = 400;
@@ -147,11 +147,14 @@
 /// Writes that a change of a version move's state is asked for, and on what evidence.
 pub(crate) fn move_decided(decision: &MoveDecision) {
     let count = &decision.count;
+    let totals = &count.totals;
     log::info!(
         service:% = decision.service, version:% = decision.version,
         state:? = decision.state, cause:? = decision.cause,
-        calls = count.calls, trials = count.trials, forced = count.forced,
-        evidence = evidence(&count.evidence).as_str();
+        calls = count.calls, trials = count.trials,
+        all_calls = totals.calls, all_permits = totals.granted, all_settled = totals.settled,
+        bad = totals.bad, nodes = totals.posters,
+        evidence = evidence(&totals.evidence).as_str();
         "version move decided"
     );
 }
@@ -162,12 +165,35 @@
     log::info!(
         service:% = report.service, version:% = report.version,
         elapsed_ms = millis(Some(report.elapsed)),
-        calls = count.calls, trials = count.trials, forced = count.forced,
-        evidence = evidence(&count.evidence).as_str();
+        calls = count.calls, trials = count.trials,
+        all_calls = count.totals.calls, all_permits = count.totals.granted;
         "version move counted"
     );
 }
 
+/// Writes what a node has posted to the ledger of a version move, and what the ledger says.
+pub(crate) fn move_posted(post: &MovePost, answer: Option<&Posted>) {
+    let posting = &post.posting;
+    let Some(answer) = answer else {
+        log::warn!(
+            service:% = post.service, version:% = post.version, sequence = posting.sequence;
+            "posting to a version move not answered"
+        );
+        return;
+    };
+    log::info!(
+        service:% = post.service, version:% = post.version, sequence = posting.sequence,
+        calls = posting.calls, wanted = posting.wanted, permits = answer.permits,
+        taken = answer.is_taken, ruling:? = answer.ruling,
+        elapsed_ms = millis(Some(answer.elapsed)),
+        all_calls = answer.totals.calls, all_permits = answer.totals.granted,
+        all_settled = answer.totals.settled, bad = answer.totals.bad,
+        nodes = answer.totals.posters,
+        evidence = evidence(&answer.totals.evidence).as_str();
+        "version move posted"
+    );
+}
+
 /// Returns the counts by route: requests, failed and slow ones of the new version and of the old one.
 fn evidence(evidence: &Evidence) -> String {
     let counts = |tally: Tally| format!("{}/{}/{}", tally.requests, tally.failed, tally.slow);
--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -12,13 +12,17 @@
 pub mod conduct;
 pub mod evidence;
 pub mod guard;
+pub mod ledger;
 pub mod plan;
 pub mod record;
+pub mod times;
 pub mod verdict;
 
 pub use conduct::{Conduct, Reversal, State};
 pub use evidence::{Evidence, Outcome, RouteEvidence, Tally};
 pub use guard::{Grant, Guard};
+pub use ledger::{Ledger, OrderKey, Posted, Posting, Ruling, Samples, Terms, Totals};
 pub use plan::{Plan, Step};
 pub use record::{MoveRecord, Progress, WallClock};
+pub use times::Times;
 pub use verdict::{Detector, Fault, Verdict, VerdictSettings};
--- a/crates/moves/src/verdict.rs
+++ b/crates/moves/src/verdict.rs
@@ -12,6 +12,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::evidence::{Evidence, RouteEvidence, Tally};
 
 /// Failure rates that are told from the tolerated one.
@@ -35,7 +37,7 @@
 }
 
 /// `VerdictSettings` say what is tolerated.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct VerdictSettings {
     /// Sum from which on a version is called bad.
     pub threshold: f64,
@@ -79,7 +81,7 @@
 }
 
 /// The latest requests of the old version; earlier ones fade.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 struct Window {
     requests: f64,
     failed: f64,
@@ -115,7 +117,7 @@
 }
 
 /// Sums of one route.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 struct Sums {
     /// Counts that have been looked at.
     seen: RouteEvidence,
@@ -126,7 +128,7 @@
 }
 
 /// `Detector` looks at counts that grow.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Detector {
     settings: VerdictSettings,
     routes: BTreeMap<String, Sums>,
@@ -141,6 +143,13 @@
         }
     }
 
+    /// Returns the highest sum: how much speaks against the new version.
+    pub fn highest(&self) -> f64 {
+        let sums = self.routes.values();
+        let all = sums.flat_map(|sums| sums.failing.iter().chain(&sums.slow));
+        all.copied().fold(0.0, f64::max)
+    }
+
     /// Looks at the counts and returns the verdict on all that was seen so far.
     pub fn look(&mut self, evidence: &Evidence) -> Verdict {
         let mut enough = !evidence.routes.is_empty();
--- /dev/null
+++ b/crates/moves/tests/ledger.rs
@@ -0,0 +1,273 @@
+//! The ledger of a move: its bounds hold whatever is posted, and each posting counts once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use monsoondeal_moves::ledger::BAD_LIMIT;
+use monsoondeal_moves::{Ledger, OrderKey, Posted, Posting, Ruling, Samples, Terms, Times};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const DURATION: Duration = Duration::from_secs(12);
+
+fn terms() -> Terms {
+    Terms {
+        duration: DURATION,
+        share: 0.1,
+        slack: 50.0,
+        nodes: 9,
+    }
+}
+
+fn ledger() -> Ledger {
+    Ledger::new(OrderKey {
+        id: 1,
+        version: "v2".to_owned(),
+    })
+}
+
+/// Returns the ledger as another process reads it.
+fn reread(ledger: &Ledger) -> Ledger {
+    let text = serde_json::to_string(ledger).expect("JSON");
+    serde_json::from_str(&text).expect("a ledger")
+}
+
+fn times(count: u64, response: Duration) -> Times {
+    let mut times = Times::default();
+    (0..count).for_each(|_| times.add(response));
+    times
+}
+
+/// Returns samples of old and new calls, of which so many new ones failed.
+fn samples(old: u64, new: u64, failed: u64, slower: u32) -> BTreeMap<String, Samples> {
+    let usual = Duration::from_millis(8);
+    let mut samples = Samples::default();
+    samples.old.times = times(old, usual);
+    samples.new.times = times(new, usual * slower);
+    samples.new.failed = failed;
+    BTreeMap::from([("r".to_owned(), samples)])
+}
+
+/// A posting is taken once, however often it is sent, and is answered alike.
+#[test]
+fn ledger_takes_a_posting_once() {
+    let mut ledger = ledger();
+    let posting = Posting {
+        poster: 7,
+        sequence: 1,
+        calls: 100,
+        wanted: 3,
+        samples: samples(90, 0, 0, 1),
+        ..Posting::default()
+    };
+    let first = ledger.post(&posting, &terms());
+    assert_eq!((first.permits, first.is_changed), (3, true));
+    let mut ledger = reread(&ledger);
+    let again = ledger.post(&posting, &terms());
+    assert_eq!((again.permits, again.is_changed), (3, false));
+    assert!(again.is_taken);
+    assert_eq!(again.totals, first.totals);
+}
+
+/// What tells nobody anything is not written, and is left to the next posting.
+#[test]
+fn ledger_leaves_a_posting_that_tells_nothing() {
+    let mut ledger = ledger();
+    let posting = Posting {
+        poster: 7,
+        sequence: 1,
+        calls: 10,
+        ..Posting::default()
+    };
+    let answer = ledger.post(&posting, &terms());
+    assert!(!answer.is_taken && !answer.is_changed);
+    let later = Posting {
+        elapsed: Duration::from_secs(1),
+        ..posting
+    };
+    // The time alone is written now and then.
+    assert!(ledger.post(&later, &terms()).is_taken);
+}
+
+/// Nothing follows a final ruling.
+#[rstest]
+#[case::failing(samples(100, 12, 10, 1), Duration::from_secs(1), Ruling::Failing)]
+#[case::slow(samples(100, 20, 0, 4), Duration::from_secs(1), Ruling::Slow)]
+#[case::too_late(samples(100, 20, 0, 1), DURATION, Ruling::TooLate)]
+fn ledger_rules_once(
+    #[case] samples: BTreeMap<String, Samples>,
+    #[case] elapsed: Duration,
+    #[case] ruling: Ruling,
+) {
+    let mut ledger = ledger();
+    let posting = Posting {
+        poster: 1,
+        sequence: 1,
+        elapsed,
+        calls: 120,
+        settled: 20,
+        samples,
+        ..Posting::default()
+    };
+    assert_eq!(ledger.post(&posting, &terms()).ruling, ruling);
+    let mut ledger = reread(&ledger);
+    let asking = Posting {
+        poster: 2,
+        sequence: 1,
+        elapsed: DURATION,
+        wanted: 5,
+        finish: true,
+        ..Posting::default()
+    };
+    let answer = ledger.post(&asking, &terms());
+    assert_eq!((answer.ruling, answer.permits), (ruling, 0));
+}
+
+/// A move is completed neither early, nor untried, nor before the new version has borne the load.
+#[rstest]
+#[case::untried(0, 0, Duration::from_millis(11_600), Ruling::Running)]
+#[case::no_load(40, 0, Duration::from_millis(11_600), Ruling::Running)]
+#[case::early(60, 12, Duration::from_millis(9_900), Ruling::Running)]
+#[case::in_time(60, 12, Duration::from_millis(11_600), Ruling::Completed)]
+fn ledger_completes_a_proven_version(
+    #[case] ends: u64,
+    #[case] per_step: u64,
+    #[case] elapsed: Duration,
+    #[case] ruling: Ruling,
+) {
+    let mut ledger = ledger();
+    let begin = terms().load_begin().as_millis() as u64 / 125;
+    let posting = Posting {
+        poster: 1,
+        sequence: 1,
+        elapsed,
+        calls: 1_000,
+        rate: 10.0,
+        settled: ends,
+        samples: samples(900, ends, 0, 1),
+        borne: (begin..begin + 3).map(|step| (step, per_step)).collect(),
+        finish: true,
+        ..Posting::default()
+    };
+    assert_eq!(ledger.post(&posting, &terms()).ruling, ruling);
+}
+
+/// What processes do with the ledger.
+#[derive(Clone, Debug)]
+enum Act {
+    /// A process calls the service so often, and asks for permits.
+    Ask(u64, u64, u64),
+    /// A process uses its permits; some of the calls fail.
+    Use(u64, u64),
+    /// A process is lost with all that it holds, and starts anew.
+    Restart(u64),
+    /// A process sends its latest posting again.
+    Repeat(u64),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        (0..9_u64, 0..40_u64, 0..20_u64)
+            .prop_map(|(at, calls, wanted)| Act::Ask(at, calls, wanted)),
+        (0..9_u64, 0..3_u64).prop_map(|(at, failing)| Act::Use(at, failing)),
+        (0..9_u64).prop_map(Act::Restart),
+        (0..9_u64).prop_map(Act::Repeat),
+    ]
+}
+
+#[derive(Default)]
+struct Process {
+    name: u64,
+    sequence: u64,
+    permits: u64,
+    latest: Option<Posting>,
+}
+
+/// What leafs have seen.
+#[derive(Default)]
+struct Seen {
+    calls: u64,
+    to_new: u64,
+    bad: u64,
+}
+
+impl Process {
+    fn post(&mut self, ledger: &mut Ledger, posting: Posting) -> Posted {
+        self.sequence += 1;
+        let posting = Posting {
+            poster: self.name,
+            sequence: self.sequence,
+            ..posting
+        };
+        let answer = ledger.post(&posting, &terms());
+        if answer.is_taken {
+            self.latest = Some(posting);
+        } else {
+            self.sequence -= 1;
+        }
+        answer
+    }
+}
+
+proptest! {
+    /// However processes ask, call, fail, end and repeat themselves: what has reached the new version stays
+    /// below the bound, and so do its bad answers.
+    #[test]
+    fn ledger_bounds_all_processes(acts in prop::collection::vec((act(), 0..400_u64), 0..200)) {
+        let mut ledger = ledger();
+        let mut elapsed = Duration::ZERO;
+        let mut processes: Vec<Process> = (0..9)
+            .map(|name| Process { name, ..Process::default() })
+            .collect();
+        let mut seen = Seen::default();
+        let mut names = 9;
+        for (act, millis) in acts {
+            elapsed += Duration::from_millis(millis);
+            ledger = reread(&ledger);
+            match act {
+                Act::Ask(at, calls, wanted) => {
+                    seen.calls += calls;
+                    let posting = Posting {
+                        elapsed, calls, wanted, samples: samples(calls, 0, 0, 1), ..Posting::default()
+                    };
+                    let process = &mut processes[at as usize];
+                    let answer = process.post(&mut ledger, posting);
+                    process.permits += answer.permits;
+                }
+                Act::Use(at, failing) => {
+                    let process = &mut processes[at as usize];
+                    let used = std::mem::take(&mut process.permits);
+                    let failed = used * failing / 2;
+                    seen.calls += used;
+                    seen.to_new += used;
+                    seen.bad += failed;
+                    let posting = Posting {
+                        elapsed, calls: used, settled: used,
+                        samples: samples(0, used, failed, 1), ..Posting::default()
+                    };
+                    process.post(&mut ledger, posting);
+                }
+                Act::Restart(at) => {
+                    let process = &mut processes[at as usize];
+                    // Its permits may have been used, and failed.
+                    seen.calls += process.permits;
+                    seen.to_new += process.permits;
+                    seen.bad += process.permits;
+                    *process = Process { name: names, ..Process::default() };
+                    names += 1;
+                }
+                Act::Repeat(at) => {
+                    if let Some(posting) = &processes[at as usize].latest {
+                        let before = serde_json::to_string(&ledger).expect("JSON");
+                        prop_assert!(ledger.post(posting, &terms()).is_taken);
+                        let after = serde_json::to_string(&ledger).expect("JSON");
+                        prop_assert_eq!(before, after);
+                    }
+                }
+            }
+            let allowed = 0.1 * seen.calls as f64 + 50.0;
+            prop_assert!(seen.to_new as f64 <= 0.55 * allowed, "{} of {}", seen.to_new, seen.calls);
+            prop_assert!(seen.bad <= BAD_LIMIT, "{} bad", seen.bad);
+        }
+    }
+}
--- a/crates/route/src/delay.rs
+++ b/crates/route/src/delay.rs
@@ -41,6 +41,12 @@
         self.value
     }
 
+    /// Returns the latest response times.
+    pub fn latest(&self) -> impl Iterator<Item = Duration> {
+        let latest = self.window.iter();
+        latest.map(|seconds| Duration::from_secs_f32(*seconds))
+    }
+
     /// Notes a response time.
     pub fn note(&mut self, response: Duration) {
         let seconds = response.as_secs_f32();
