Tell slow answers of a version on trial from new connections, and take moves back by the deadline

Response times that go to the ledger now begin when the call is written, and slow means half as much again as three of four. A move that is not completed is taken back a moment before its deadline, not after it.

--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -46,6 +46,8 @@
     pub parts: Vec<Bytes>,
     /// The whole body.
     pub body: Bytes,
+    /// Microseconds until the call was written: a connection had to be opened, and the leaf to tell its name.
+    pub opening_micros: u32,
 }
 
 impl Answer {
--- a/crates/edge/src/edge/outcome.rs
+++ b/crates/edge/src/edge/outcome.rs
@@ -281,9 +281,13 @@
         // A cold leaf is slow whatever its version.
         let is_cold = self.directory.is_cold(call.leaf, now);
         let outcome = failed.filter(|failed| *failed || !is_cold);
+        let opening = match end {
+            CallEnd::Answer(answer) => Duration::from_micros(answer.opening_micros.into()),
+            _ => Duration::ZERO,
+        };
         let result = CallResult {
             arrived,
-            outcome: outcome.map(|failed| (response, failed)),
+            outcome: outcome.map(|failed| (response.saturating_sub(opening), failed)),
         };
         let pace = self.paces.get(&call.route);
         let before = || pace.map(Pace::times).unwrap_or_default();
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -123,11 +123,18 @@
         Ok(sender) => sender,
         Err(end) => return (None, end),
     };
-    if let Some(budget) = budget(call, started.elapsed()) {
+    let opening = started.elapsed();
+    if let Some(budget) = budget(call, opening) {
         request.headers_mut().insert(names.deadline.clone(), budget);
     }
     match sender.try_send_request(request).await {
-        Ok(response) => read(sender, response, inbound, names).await,
+        Ok(response) => {
+            let (connection, mut end) = read(sender, response, inbound, names).await;
+            if let CallEnd::Answer(answer) = &mut end {
+                answer.opening_micros = u32::try_from(opening.as_micros()).unwrap_or(u32::MAX);
+            }
+            (connection, end)
+        }
         Err(mut error) => match error.take_message() {
             Some(_) => (None, CallEnd::Unsent),
             None => (None, lost(&AnswerError::of(error.error()))),
@@ -241,6 +248,7 @@
         stamp,
         parts,
         body,
+        opening_micros: 0,
     };
     (connection, CallEnd::Answer(answer))
 }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -32,6 +32,42 @@
     let _ = stream.shutdown(Shutdown::Both);
 }
 
+/// Ends in the middle of a header field.
+fn cut_in_a_field(stream: &mut TcpStream, head: &str) {
+    let id = field(head, "x-id").unwrap_or_default();
+    write(
+        stream,
+        &format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\ncontent-len"),
+    );
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// Ends between the last header field and the blank line.
+fn cut_before_the_blank_line(stream: &mut TcpStream, head: &str) {
+    let id = field(head, "x-id").unwrap_or_default();
+    write(
+        stream,
+        &format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\n"),
+    );
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// Ends in the middle of a field with the length that the whole answer would have had.
+fn cut_in_the_length(stream: &mut TcpStream, head: &str) {
+    let id = field(head, "x-id").unwrap_or_default();
+    write(
+        stream,
+        &format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\ncontent-length: 4"),
+    );
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// Ends in the middle of the status line.
+fn cut_in_the_status(stream: &mut TcpStream, _head: &str) {
+    write(stream, "HTTP/1.1 200");
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
 fn of_another_request(stream: &mut TcpStream, _head: &str) {
     write(
         stream,
@@ -73,6 +109,10 @@
 #[rstest]
 #[case::cut_by_reset(cut_by_reset)]
 #[case::cut_short_of_length(cut_short_of_length)]
+#[case::cut_in_a_field(cut_in_a_field)]
+#[case::cut_before_the_blank_line(cut_before_the_blank_line)]
+#[case::cut_in_the_length(cut_in_the_length)]
+#[case::cut_in_the_status(cut_in_the_status)]
 #[case::of_another_request(of_another_request)]
 #[case::without_stamp(without_stamp)]
 #[case::encoded(encoded)]
@@ -94,6 +134,10 @@
 #[rstest]
 #[case::cut_by_reset(cut_by_reset)]
 #[case::cut_short_of_length(cut_short_of_length)]
+#[case::cut_in_a_field(cut_in_a_field)]
+#[case::cut_before_the_blank_line(cut_before_the_blank_line)]
+#[case::cut_in_the_length(cut_in_the_length)]
+#[case::cut_in_the_status(cut_in_the_status)]
 #[case::of_another_request(of_another_request)]
 #[case::without_stamp(without_stamp)]
 #[case::encoded(encoded)]
--- a/crates/moves/src/ledger.rs
+++ b/crates/moves/src/ledger.rs
@@ -19,7 +19,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::evidence::{Evidence, Tally};
+use crate::evidence::{Evidence, RouteEvidence, Tally};
 use crate::times::Times;
 use crate::verdict::{Detector, Fault, Verdict, VerdictSettings};
 
@@ -43,6 +43,8 @@
 /// Longest part of the move's time between completion and deadline, and the time that it is at least.
 const LONGEST_FINAL_PART: f64 = 0.06;
 const LONGEST_FINAL: Duration = Duration::from_millis(500);
+/// Part of the longest time between completion and deadline that is left for a reversal.
+const GIVE_UP_PART: f64 = 0.2;
 /// Time after which the ledger is written for the time alone.
 const CHECKPOINT: Duration = Duration::from_millis(500);
 /// Most bad answers, and permits not settled, at a time.
@@ -54,8 +56,10 @@
 /// The same on each route.
 const LEAST_ROUTE_ENDS: u64 = 4;
 const ROUTE_CALLS_PER_END: u64 = 50;
-/// Doublings above the usual response time from which on an answer counts as bad by itself.
-const BAD_DOUBLINGS: u8 = 1;
+/// Classes above the usual response time from which on an answer is slow: half as much again.
+const SLOW_CLASSES: u8 = 2;
+/// Classes above it from which on an answer counts as bad by itself: twice as much.
+const BAD_CLASSES: u8 = 4;
 /// Sum from which on a version is not completed though it is not taken back yet.
 const DOUBT: f64 = 3.5;
 
@@ -88,6 +92,12 @@
         longest.max(LONGEST_FINAL).min(self.duration)
     }
 
+    /// Returns the time since the order at which the move is taken back if it is not completed, so that this
+    /// is known by the deadline.
+    pub fn give_up(&self) -> Duration {
+        self.duration - self.longest_final().mul_f64(GIVE_UP_PART)
+    }
+
     /// Returns the permits that a call to the service earns while the new version is not tried under load.
     pub fn earned(&self) -> f64 {
         self.share * TRICKLE_PART
@@ -123,7 +133,7 @@
         let tally = Tally {
             requests: self.times.count(),
             failed: self.failed,
-            slow: self.times.above(usual, 0),
+            slow: self.times.above(usual, SLOW_CLASSES),
         };
         tally.bounded()
     }
@@ -224,7 +234,9 @@
     settled: u64,
     bad: u64,
     evidence: Evidence,
+    /// The test of each route, and of all routes together.
     detector: Detector,
+    joint: Detector,
     /// Response times, by route.
     times: BTreeMap<String, RouteTimes>,
     posters: BTreeMap<u64, Poster>,
@@ -283,6 +295,7 @@
             bad: 0,
             evidence: Evidence::default(),
             detector: Detector::new(VerdictSettings::default()),
+            joint: Detector::new(VerdictSettings::default()),
             times: BTreeMap::new(),
             posters: BTreeMap::new(),
             borne: BTreeMap::new(),
@@ -361,7 +374,7 @@
             return;
         };
         let new = std::mem::take(&mut times.unjudged);
-        self.bad += new.failed + new.times.above(limit, BAD_DOUBLINGS);
+        self.bad += new.failed + new.times.above(limit, BAD_CLASSES);
         held.old.merge(samples.old.tally(limit));
         held.new.merge(new.tally(limit));
     }
@@ -369,17 +382,32 @@
     /// Ends the move if it is time.
     fn rule(&mut self, finish: bool, terms: &Terms) {
         let elapsed = self.elapsed();
-        self.ruling = match self.detector.look(&self.evidence) {
-            Verdict::Bad { fault, .. } => match fault {
-                Fault::Failing => Ruling::Failing,
-                Fault::Slow => Ruling::Slow,
-            },
-            _ if elapsed >= terms.duration => Ruling::TooLate,
-            _ if finish && elapsed >= self.complete_at(terms) && self.is_proved(terms) => {
+        self.ruling = match self.fault() {
+            Some(Fault::Failing) => Ruling::Failing,
+            Some(Fault::Slow) => Ruling::Slow,
+            None if elapsed >= terms.give_up() => Ruling::TooLate,
+            None if finish && elapsed >= self.complete_at(terms) && self.is_proved(terms) => {
                 Ruling::Completed
             }
-            _ => Ruling::Running,
+            None => Ruling::Running,
+        };
+    }
+
+    /// Looks at the evidence and returns the fault that it shows.
+    fn fault(&mut self) -> Option<Fault> {
+        let mut all = RouteEvidence::default();
+        for route in self.evidence.routes.values() {
+            all.old.merge(route.old);
+            all.new.merge(route.new);
+        }
+        let all = Evidence {
+            routes: BTreeMap::from([(String::new(), all)]),
         };
+        let verdicts = [self.detector.look(&self.evidence), self.joint.look(&all)];
+        verdicts.into_iter().find_map(|verdict| match verdict {
+            Verdict::Bad { fault, .. } => Some(fault),
+            Verdict::Open | Verdict::Good => None,
+        })
     }
 
     /// Returns whether the new version has been tried enough, and nothing speaks against it.
@@ -392,7 +420,7 @@
             route.new.requests >= wanted.min(LEAST_ROUTE_ENDS)
         });
         let wanted = self.calls.div_ceil(CALLS_PER_END).min(LEAST_ENDS);
-        let is_doubtful = self.detector.highest() >= DOUBT;
+        let is_doubtful = self.detector.highest().max(self.joint.highest()) >= DOUBT;
         ends >= wanted && are_judged && are_tried && self.has_borne(terms) && !is_doubtful
     }
 
--- a/crates/moves/src/times.rs
+++ b/crates/moves/src/times.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Classes for each doubling of the response time.
-const PER_DOUBLING: f64 = 4.0;
+pub(crate) const PER_DOUBLING: f64 = 4.0;
 /// Response times from which on older ones count half.
 const MOST_KEPT: u64 = 2_000;
 /// Response times without which nothing is called usual.
@@ -64,9 +64,9 @@
         })
     }
 
-    /// Returns how many response times are more than `doublings` above a class.
-    pub(crate) fn above(&self, class: u8, doublings: u8) -> u64 {
-        let limit = class.saturating_add(doublings * PER_DOUBLING as u8);
+    /// Returns how many response times are more than `classes` above a class.
+    pub(crate) fn above(&self, class: u8, classes: u8) -> u64 {
+        let limit = class.saturating_add(classes);
         let above = self.classes.iter().filter(|(class, _)| **class > limit);
         above.map(|(_, count)| count).sum()
     }
