Reject requests that come late in a planned stop as not run

A request whose head began to come before a node stopped accepting connections and ended later in the grace was passed on, and answered with 502 when the process had to end, also if it may run once only. It has not run, and now is told so at once, with a time to come back; so is one that the process has read and not looked at when it ends (502 before).

--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -228,6 +228,12 @@
         self.counts
     }
 
+    /// Counts a request that is rejected since the node is about to end.
+    pub fn count_late(&mut self) {
+        self.counts.requests += 1;
+        self.counts.rejected += 1;
+    }
+
     /// Returns the number of requests under way.
     pub fn open_requests(&self) -> usize {
         self.jobs.len()
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -27,6 +27,7 @@
 use monsoondeal_node::stream::Stream;
 
 use crate::event::{Event, EventSender, Inbound};
+use crate::hub::late;
 use crate::leafs::strip_connection_fields;
 use crate::segment;
 use crate::settings::HeaderNames;
@@ -257,7 +258,8 @@
     let mut response = match read(request, is_first, state).await {
         Ok(inbound) => match ask(inbound, events).await {
             Some(reply) => respond(reply, state),
-            None => plain(StatusCode::BAD_GATEWAY, "the node is stopping"),
+            // The hub has ended before it looked at the request.
+            None => respond(late(), state),
         },
         Err(response) => response,
     };
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -38,6 +38,8 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 /// Time for the last responses to leave the process.
 const FLUSH: Duration = Duration::from_millis(100);
+/// When a request that came too late in a planned stop is worth asking again: other nodes serve it.
+const LATE_RETRY: Duration = Duration::from_millis(20);
 /// Time between two looks at whether a stop is done.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -126,6 +128,14 @@
     }
 }
 
+/// Returns the reply to a request that comes too late in a planned stop, or after it. It has not run.
+pub(crate) fn late() -> Reply {
+    Reply::Rejected {
+        reason: "the node is stopping",
+        retry_after: LATE_RETRY,
+    }
+}
+
 /// How far a planned stop has come, and since when it is wanted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stop {
@@ -247,6 +257,14 @@
     }
 
     fn on_request(&mut self, inbound: Inbound, sender: oneshot::Sender<Reply>) {
+        if let Stop::Draining(_) = self.stop {
+            // A leaf might still be at work on it when this node ends.
+            let id = String::from_utf8_lossy(&inbound.id);
+            self.logs.reply(&id, &late(), &Summary::default(), None);
+            self.edge.count_late();
+            let _ = sender.send(late());
+            return;
+        }
         let inbound = Rc::new(inbound);
         let caller = Caller {
             inbound: inbound.clone(),
--- a/programs/monsoondeal/tests/edge.rs
+++ b/programs/monsoondeal/tests/edge.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{ask, config, request_text, server, start_leaf, status, wait_until};
+use common::{ask, config, request_text, server, start_leaf, start_leaf_with, status, wait_until};
 use soak::node::{NodeAddrs, SETTINGS_VARIABLE};
 use soak::store::FakeStore;
 
@@ -106,6 +106,39 @@
     assert!(ended.success(), "{ended}");
 }
 
+/// A request that comes late in a stop is not passed on: its answer might not come before the end. It is told
+/// at once that it has not run, also one that began to come in time.
+#[test]
+fn stop_rejects_late_requests() {
+    let store = FakeStore::start();
+    let is_check = |line: &str| line.contains("/health");
+    let leaf = start_leaf_with(move |line| match is_check(line) {
+        true => Duration::ZERO,
+        false => Duration::from_secs(3),
+    });
+    store.put("servers", "i-1", server(leaf, "s", "ready"));
+    store.put("config", "main", config(1, "/p/", "s"));
+    let mut process = Process::start("late", &store);
+    let text = request_text("late", "/p/x", "");
+    let (begun, rest) = text.split_at(text.len() / 2);
+    let mut late = TcpStream::connect(process.addrs.front).expect("a connection");
+    late.write_all(begun.as_bytes())
+        .expect("an open connection");
+    process.signal("TERM");
+    // The node accepts connections for 2.6 s of the grace.
+    thread::sleep(Duration::from_millis(2_800));
+    let sent = Instant::now();
+    late.write_all(rest.as_bytes()).expect("an open connection");
+    let mut answer = String::new();
+    late.read_to_string(&mut answer)
+        .expect("an answer, then the end");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+    // Far below the time that the leaf takes.
+    assert!(sent.elapsed() < Duration::from_secs(1));
+    assert!(process.child.wait().expect("the process ends").success());
+}
+
 /// A stop ends idle connections and leaves long before it would be killed.
 #[test]
 fn stop_ends_idle_connections() {
