--- a/crates/edge/src/shift.rs
+++ b/crates/edge/src/shift.rs
@@ -75,9 +75,9 @@
 /// `MoveCount` is what has been sent and seen in a version move.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MoveCount {
-    /// Calls of this node to the service.
+    /// Calls of this node that have reached the service.
     pub calls: u64,
-    /// Calls of this node to the new version among them.
+    /// Calls of this node that were sent to the new version.
     pub trials: u64,
     /// What all nodes together had sent and seen when this node last posted.
     pub totals: Totals,
@@ -132,10 +132,15 @@
         !self.order.state.is_final()
     }
 
-    /// Notes which versions are left behind, once the move is completed.
-    fn complete(&mut self, versions: &mut Versions) {
-        if self.order.state == MoveState::Completed && self.former.is_empty() {
-            self.former = versions.moved(&self.order.service, &self.order.version);
+    /// Notes what the end of the move means for the versions.
+    fn end(&mut self, versions: &mut Versions) {
+        let (service, version) = (&self.order.service, &self.order.version);
+        match self.order.state {
+            MoveState::Completed if self.former.is_empty() => {
+                self.former = versions.moved(service, version);
+            }
+            MoveState::RolledBack => versions.bar(service, version),
+            MoveState::Asked | MoveState::Running | MoveState::Completed => {}
         }
     }
 
@@ -233,6 +238,7 @@
             if shift.is_running() && !is_listed(name) {
                 shift.order.state = MoveState::RolledBack;
                 shift.wanted = Some(MoveState::RolledBack);
+                shift.end(&mut self.versions);
             }
         }
         for (order, terms) in orders {
@@ -266,7 +272,7 @@
                 }
             }
         };
-        shift.complete(&mut self.versions);
+        shift.end(&mut self.versions);
         self.moves.insert(service, shift);
     }
 
@@ -287,8 +293,7 @@
         }
         let version = |id: &LeafId| directory.entry(*id).map(|entry| &entry.version);
         let versions = &self.versions;
-        let is_proven =
-            |id: &LeafId| version(id).is_some_and(|v| !versions.is_unproven(service, v));
+        let is_proven = |id: &LeafId| version(id).is_some_and(|v| versions.is_proven(service, v));
         let Some(shift) = shift else {
             let usual = leafs.into_iter().filter(is_proven).collect();
             return Leafs {
@@ -325,7 +330,7 @@
         Leafs { usual, trial }
     }
 
-    /// Counts a call that is sent to a leaf. Returns whether it goes to a version on trial.
+    /// Notes a call that is sent to a leaf. Returns whether it goes to a version on trial.
     pub(crate) fn sent(&mut self, service: &str, version: &Name, now: Time) -> bool {
         let Some(shift) = self.moves.get_mut(service).filter(|s| s.is_running()) else {
             return false;
@@ -408,7 +413,7 @@
         } else {
             MoveState::RolledBack
         };
-        shift.complete(&mut self.versions);
+        shift.end(&mut self.versions);
     }
 
     /// Returns whether the orders are to be asked for, and notes that they are.
--- a/crates/edge/src/trial.rs
+++ b/crates/edge/src/trial.rs
@@ -67,9 +67,9 @@
     permits: u64,
     /// Permits whose calls are under way.
     open: u64,
-    /// Calls to the service since the order.
+    /// Calls that have reached the service since the order.
     pub(crate) calls: u64,
-    /// Calls to the new version among them.
+    /// Calls sent to the new version.
     pub(crate) trials: u64,
     /// Calls that were wanted and found no leaf.
     missed: u64,
@@ -77,6 +77,8 @@
     earned: f64,
     /// Whether permits have been asked for.
     has_asked: bool,
+    /// Whether it is settled when this node's next turn comes.
+    has_turn: bool,
     /// Whether permits from before the new version is tried under load were given back or are to be used.
     is_settled: bool,
     /// Whether a call found no other leaf, and no permit.
@@ -129,6 +131,7 @@
             missed: 0,
             earned: f64::from(u8::from(is_busy)),
             has_asked: false,
+            has_turn: false,
             is_settled: false,
             is_starved: false,
             is_asked_for: false,
@@ -194,19 +197,17 @@
         true
     }
 
-    /// Counts a call that is sent.
+    /// Notes a call that is sent. One to the new version uses a permit.
     pub(crate) fn sent(&mut self, is_new: bool, now: Time) {
-        self.calls += 1;
-        self.pending.calls += 1;
-        self.earned += self.terms.earned();
-        if is_new {
-            debug_assert!(self.permits > 0, "a call to the new version has a permit");
-            let step = self.elapsed(now).as_millis() / LOAD_STEP.as_millis();
-            *self.pending.borne.entry(step as u64).or_default() += 1;
-            self.trials += 1;
-            self.permits = self.permits.saturating_sub(1);
-            self.open += 1;
+        if !is_new {
+            return;
         }
+        debug_assert!(self.permits > 0, "a call to the new version has a permit");
+        let step = self.elapsed(now).as_millis() / LOAD_STEP.as_millis();
+        *self.pending.borne.entry(step as u64).or_default() += 1;
+        self.trials += 1;
+        self.permits = self.permits.saturating_sub(1);
+        self.open += 1;
     }
 
     /// Takes in what the route's response times were before the order, unless it is known.
@@ -232,6 +233,12 @@
             }
             self.pending_since.get_or_insert(now);
         }
+        if result.arrived {
+            // What never reached a leaf of the service must not widen the bound.
+            self.calls += 1;
+            self.pending.calls += 1;
+            self.earned += self.terms.earned();
+        }
         let Some((response, failed)) = result.outcome else {
             return;
         };
@@ -373,7 +380,9 @@
         }
         self.permits += answer.permits;
         if posting.wanted > 0 {
-            self.earned = 0.0;
+            // The nodes' next turns come at different times, as if one node had all calls.
+            self.earned = if self.has_turn { 0.0 } else { chance };
+            self.has_turn = true;
             self.is_starved = false;
             self.is_asked_for = false;
         }
--- a/crates/edge/src/versions.rs
+++ b/crates/edge/src/versions.rs
@@ -14,6 +14,9 @@
 /// Time between two questions for the orders while none is answered.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 
+/// Versions of a service that were taken back and are remembered.
+const MOST_BARRED: usize = 8;
+
 /// A version and when it was first seen.
 type Unproven = (Name, Time);
 
@@ -25,6 +28,8 @@
     proven: HashMap<Name, SmallVec<[Name; 2]>>,
     /// Versions that may be on trial.
     unproven: HashMap<Name, SmallVec<[Unproven; 2]>>,
+    /// Versions that were taken back.
+    barred: HashMap<Name, SmallVec<[Name; 2]>>,
     /// When the orders were last asked for, until they are told.
     asked_at: Option<Time>,
 }
@@ -43,7 +48,8 @@
     /// Notes the version of a leaf.
     pub(crate) fn saw(&mut self, service: &Name, version: &Name, now: Time) {
         let proven = self.proven.entry(service.clone()).or_default();
-        if proven.contains(version) {
+        let barred = self.barred.get(service);
+        if proven.contains(version) || barred.is_some_and(|list| list.contains(version)) {
             return;
         }
         if proven.is_empty() || !self.knows_orders {
@@ -56,10 +62,10 @@
         }
     }
 
-    /// Returns whether a version may be on trial.
-    pub(crate) fn is_unproven(&self, service: &str, version: &Name) -> bool {
-        let unproven = self.unproven.get(service);
-        unproven.is_some_and(|list| list.iter().any(|(known, _)| known == version))
+    /// Returns whether a version may be called without a move.
+    pub(crate) fn is_proven(&self, service: &str, version: &Name) -> bool {
+        let proven = self.proven.get(service);
+        proven.is_some_and(|list| list.contains(version))
     }
 
     /// Returns whether all versions of a service are proven.
@@ -80,9 +86,24 @@
         }
     }
 
+    /// Notes that a version was taken back.
+    pub(crate) fn bar(&mut self, service: &Name, version: &Name) {
+        self.on_trial(service, version);
+        let barred = self.barred.entry(service.clone()).or_default();
+        if !barred.contains(version) {
+            barred.push(version.clone());
+        }
+        if barred.len() > MOST_BARRED {
+            barred.remove(0);
+        }
+    }
+
     /// Notes that a service has been moved to a version, and returns those that it had before.
     pub(crate) fn moved(&mut self, service: &Name, version: &Name) -> SmallVec<[Name; 2]> {
         self.on_trial(service, version);
+        if let Some(barred) = self.barred.get_mut(service) {
+            barred.retain(|known| known != version);
+        }
         let proven = SmallVec::from_iter([version.clone()]);
         self.proven
             .insert(service.clone(), proven)
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -2,10 +2,14 @@
 
 mod common;
 
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 use common::{Node, config, failure, good, leaf, single};
-use monsoondeal_edge::{EdgeSettings, LeafEntry, MoveCause, MoveOrder, MoveState, Name, Repeat};
+use monsoondeal_core::Time;
+use monsoondeal_edge::{
+    CallEnd, Edge, EdgeSettings, LeafEntry, MoveCause, MoveOrder, MoveState, Name, Repeat, Reply,
+};
 use monsoondeal_moves::Ruling;
 use rstest::rstest;
 
@@ -194,3 +198,147 @@
     assert_eq!(decision.cause, MoveCause::Ruled(Ruling::Failing));
     assert!(decision.count.totals.evidence.routes["r"].new.failed > 0);
 }
+
+/// Returns how many of 40 requests in a row reach each leaf.
+fn calls_by_leaf(node: &mut Node) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..40 {
+        node.request("r");
+        while let Some(call) = node.calls.first().cloned() {
+            *counts.entry(call.instance.to_string()).or_default() += 1;
+            node.end(call.call, good("1"));
+        }
+        node.pass(GAP);
+    }
+    counts
+}
+
+fn old_leafs() -> Vec<LeafEntry> {
+    vec![leaf("old-1", "s"), leaf("old-2", "s")]
+}
+
+/// A node that serves the old version.
+fn settled_node() -> Node {
+    let route = single("r", "s", Repeat::Idempotent);
+    Node::new(config(1, vec![route], 40), old_leafs())
+}
+
+fn set_moves(node: &mut Node, orders: Vec<MoveOrder>) {
+    node.step(|edge, now, out| edge.set_moves(orders, now, out));
+}
+
+/// A version that the registry tells of gets nothing until the store has been asked for an order.
+#[test]
+fn move_unknown_version_gets_nothing() {
+    let mut node = settled_node();
+    node.step(|edge, now, out| edge.upsert_leaf(new_leaf("new-1"), now, out));
+    let asked = node.asked.take().expect("a question to the store");
+    assert!(!calls_by_leaf(&mut node).contains_key("new-1"));
+    node.pass(Duration::from_secs(1));
+    assert!(node.asked.is_some(), "asked again without an answer");
+
+    // There is no order: leafs are replaced by those of another version without a move.
+    node.step(|edge, now, out| edge.orders_told(Vec::new(), asked, now, out));
+    node.step(|edge, now, out| edge.replace_leafs(vec![new_leaf("new-1")], now, out));
+    assert!(calls_by_leaf(&mut node).contains_key("new-1"));
+}
+
+/// An answer that is older than the sight of a version proves nothing.
+#[test]
+fn move_unknown_version_needs_a_later_answer() {
+    let mut node = settled_node();
+    let before = node.now;
+    node.pass(Duration::from_millis(10));
+    node.step(|edge, now, out| edge.upsert_leaf(new_leaf("new-1"), now, out));
+    node.step(|edge, now, out| edge.orders_told(Vec::new(), before, now, out));
+    node.step(|edge, now, out| edge.replace_leafs(vec![new_leaf("new-1")], now, out));
+    assert!(!calls_by_leaf(&mut node).contains_key("new-1"));
+}
+
+/// Without a permit the new version gets nothing, also where there is no other leaf: the request is rejected
+/// at once as not run.
+#[test]
+fn move_without_old_leafs_needs_permits() {
+    let mut node = node(MoveState::Running);
+    let known = vec![new_leaf("new-1"), new_leaf("new-2")];
+    node.step(|edge, now, out| edge.replace_leafs(known, now, out));
+    let token = node.request("r");
+    let reply = node.reply(token).cloned();
+    assert!(matches!(reply, Some(Reply::Rejected { .. })), "{reply:?}");
+    assert!(node.calls.is_empty());
+    // The ledger is asked for permits, and they are used.
+    let mut ledger = None;
+    node.pass(Duration::from_secs(1));
+    node.answer_posts(&mut ledger);
+    node.request("r");
+    assert_eq!(node.called().len(), 1);
+}
+
+/// A version that was taken back gets nothing later either: not when its order is withdrawn, nor when its
+/// leafs register anew, nor beside the next version.
+#[rstest]
+#[case::order_withdrawn(vec![])]
+#[case::next_version(vec![MoveOrder {
+    id: 2,
+    version: Name::from("v3"),
+    ..order(MoveState::Running)
+}])]
+fn move_taken_back_stays_so(#[case] orders: Vec<MoveOrder>) {
+    let mut node = node(MoveState::RolledBack);
+    set_moves(&mut node, orders);
+    node.step(|edge, now, out| edge.upsert_leaf(new_leaf("new-3"), now, out));
+    let asked = node.now;
+    node.pass(Duration::from_millis(500));
+    node.step(|edge, now, out| edge.orders_told(Vec::new(), asked, now, out));
+    let counts = calls_by_leaf(&mut node);
+    assert!(counts.keys().all(|name| !is_new(name)), "{counts:?}");
+}
+
+/// The leafs that a completed move leaves behind stop at once; those of a later version are used.
+#[test]
+fn move_completed_leaves_the_former_version() {
+    let mut node = node(MoveState::Completed);
+    assert!(calls_by_leaf(&mut node).keys().all(|name| is_new(name)));
+    let later = LeafEntry {
+        version: Name::from("v3"),
+        ..leaf("later-1", "s")
+    };
+    node.step(|edge, now, out| edge.upsert_leaf(later.clone(), now, out));
+    let asked = node.asked.expect("a question to the store");
+    let orders = vec![order(MoveState::Completed)];
+    node.step(|edge, now, out| edge.orders_told(orders, asked, now, out));
+    let mut known = old_leafs();
+    known.push(later);
+    node.step(|edge, now, out| edge.replace_leafs(known, now, out));
+    let counts = calls_by_leaf(&mut node);
+    assert_eq!(counts.keys().collect::<Vec<_>>(), ["later-1"]);
+}
+
+/// A node that has not been told of any orders serves nothing, since it cannot tell versions apart.
+#[test]
+fn move_orders_come_before_service() {
+    let route = single("r", "s", Repeat::Idempotent);
+    let mut edge = Edge::new(EdgeSettings::default());
+    let (now, mut out) = (Time::from_millis(1_000), Vec::new());
+    edge.set_config(config(1, vec![route], 40));
+    edge.close_domains(HashSet::new());
+    edge.replace_leafs(old_leafs(), now, &mut out);
+    assert!(!edge.is_ready());
+    edge.set_moves(Vec::new(), now, &mut out);
+    assert!(edge.is_ready());
+}
+
+/// Calls that never reach a leaf of the service do not widen the bound.
+#[test]
+fn move_counts_calls_that_arrive() {
+    let mut node = node(MoveState::Running);
+    for _ in 0..200 {
+        node.request("r");
+        while let Some(call) = node.calls.first().cloned() {
+            node.end(call.call, CallEnd::Unsent);
+        }
+        node.pass(GAP);
+    }
+    let posted: u64 = node.posts.iter().map(|post| post.posting.calls).sum();
+    assert_eq!(posted, 0, "{:?}", node.posts);
+}
--- a/crates/moves/src/ledger.rs
+++ b/crates/moves/src/ledger.rs
@@ -159,7 +159,7 @@
     pub sequence: u64,
     /// Least time since the order.
     pub elapsed: Duration,
-    /// Calls to the service since the last posting.
+    /// Calls that have reached the service since the last posting.
     pub calls: u64,
     /// Calls of the process that are wanted, in calls a second; zero until it is known.
     pub rate: f64,
