--- a/crates/edge/src/versions.rs
+++ b/crates/edge/src/versions.rs
@@ -11,8 +11,8 @@
 
 use crate::config::Name;
 
-/// Time between two questions for the orders while none is answered.
-const ASK_AGAIN: Duration = Duration::from_millis(300);
+/// Time between two questions for the orders while none is answered: longer than the store is waited for.
+const ASK_AGAIN: Duration = Duration::from_millis(1_500);
 
 /// Versions of a service that were taken back and are remembered.
 const MOST_BARRED: usize = 8;
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -10,7 +10,7 @@
 use monsoondeal_edge::{
     CallEnd, Edge, EdgeSettings, LeafEntry, MoveCause, MoveOrder, MoveState, Name, Repeat, Reply,
 };
-use monsoondeal_moves::Ruling;
+use monsoondeal_moves::{Posted, Ruling};
 use rstest::rstest;
 
 const DURATION: Duration = Duration::from_secs(12);
@@ -234,7 +234,7 @@
     node.step(|edge, now, out| edge.upsert_leaf(new_leaf("new-1"), now, out));
     let asked = node.asked.take().expect("a question to the store");
     assert!(!calls_by_leaf(&mut node).contains_key("new-1"));
-    node.pass(Duration::from_secs(1));
+    node.pass(Duration::from_secs(2));
     assert!(node.asked.is_some(), "asked again without an answer");
 
     // There is no order: leafs are replaced by those of another version without a move.
@@ -342,3 +342,66 @@
     let posted: u64 = node.posts.iter().map(|post| post.posting.calls).sum();
     assert_eq!(posted, 0, "{:?}", node.posts);
 }
+
+/// Answers all postings as a ledger that takes none and was last written at `elapsed`.
+fn refuse_posts(node: &mut Node, elapsed: Duration) -> usize {
+    let posts = std::mem::take(&mut node.posts);
+    for post in &posts {
+        let answer = Posted {
+            elapsed,
+            complete_at: DURATION,
+            ..Posted::default()
+        };
+        node.step(|edge, now, out| edge.posted(post, Some(&answer), now, out));
+    }
+    posts.len()
+}
+
+/// A node that learns of an order late asks the ledger for the time now and then, also where the ledger was
+/// last written long ago.
+#[test]
+fn move_learnt_late_is_asked_for_now_and_then() {
+    let mut node = node(MoveState::Running);
+    let mut posts = 0;
+    for _ in 0..400 {
+        node.request("r");
+        while let Some(call) = node.calls.first().cloned() {
+            node.end(call.call, good("1"));
+        }
+        posts += refuse_posts(&mut node, Duration::from_millis(1_500));
+        node.pass(GAP);
+    }
+    // Four seconds: a few questions a second at most, for permits, for the time and to tell the calls.
+    assert!((3..=16).contains(&posts), "{posts}");
+}
+
+/// What a posting told that was not taken is told again: what the new version has borne counts for its
+/// completion.
+#[test]
+fn move_posting_not_taken_is_told_again() {
+    let mut node = node(MoveState::Running);
+    node.pass(Duration::from_millis(100));
+    node.request("r");
+    let old = node.calls[0].call;
+    node.end(old, good("1"));
+    let mut ledger = None;
+    node.pass(Duration::from_secs(1));
+    node.answer_posts(&mut ledger);
+    // The permit is used, and its call goes on.
+    node.request("r");
+    assert!(is_new(&node.calls[0].instance));
+    for _ in 0..60 {
+        node.request("r");
+        let latest = node.calls.last().expect("a call").call;
+        node.end(latest, good("1"));
+    }
+    node.pass(Duration::from_secs(2));
+    let first = node.posts[0].posting.clone();
+    assert_eq!(first.borne.values().sum::<u64>(), 1, "{first:?}");
+    refuse_posts(&mut node, Duration::from_secs(1));
+    node.pass(Duration::from_secs(2));
+    let second = node.posts[0].posting.clone();
+    assert_eq!(second.sequence, first.sequence);
+    assert_eq!(second.borne, first.borne);
+    assert!(second.calls >= first.calls, "{second:?}");
+}
