Look a posting that was not answered up in the ledger as it is now

A posting whose answer was lost may have been written. Its second sending could look at data that is seconds old, take it for not written, and lose what the next one told: evidence, not the bounds (what is not settled stays counted). Seen while reading; move_posting_not_answered_is_sent_again.

--- a/crates/edge/src/trial.rs
+++ b/crates/edge/src/trial.rs
@@ -263,7 +263,8 @@
         }
         self.return_idle(now);
         let finish = now >= self.finish_time();
-        if self.posting.is_none() {
+        let again = self.posting.is_some();
+        if !again {
             let wants = self.wants(now);
             let is_old = self.pending_since.is_some_and(|at| now >= at + TELL_TIME);
             let is_sync = self.sync_at.is_some_and(|at| now >= at);
@@ -291,6 +292,7 @@
         posting.elapsed = elapsed;
         posting.rate = rate;
         posting.finish = finish;
+        posting.again = again;
         self.is_under_way = true;
         Some(posting.clone())
     }
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -10,7 +10,7 @@
 use monsoondeal_edge::{
     CallEnd, Edge, EdgeSettings, LeafEntry, MoveCause, MoveOrder, MoveState, Name, Repeat, Reply,
 };
-use monsoondeal_moves::{Posted, Ruling};
+use monsoondeal_moves::{Posted, Posting, Ruling};
 use rstest::rstest;
 
 const DURATION: Duration = Duration::from_secs(12);
@@ -405,3 +405,21 @@
     assert_eq!(second.borne, first.borne);
     assert!(second.calls >= first.calls, "{second:?}");
 }
+
+/// A posting without an answer is sent again as it is, and says so: it may be in the ledger.
+#[test]
+fn move_posting_not_answered_is_sent_again() {
+    let mut node = node(MoveState::Running);
+    node.request("r");
+    let call = node.calls[0].call;
+    node.end(call, good("1"));
+    node.pass(Duration::from_secs(1));
+    let first = node.posts.remove(0);
+    assert!(!first.posting.again);
+    node.step(|edge, now, out| edge.posted(&first, None, now, out));
+    node.pass(Duration::from_secs(1));
+    let second = node.posts.remove(0).posting;
+    assert!(second.again);
+    let same = |posting: &Posting| (posting.sequence, posting.calls, posting.wanted);
+    assert_eq!(same(&second), same(&first.posting));
+}
--- a/crates/moves/src/ledger.rs
+++ b/crates/moves/src/ledger.rs
@@ -175,6 +175,9 @@
     pub wanted: u64,
     /// Whether the move is to be completed if it may be.
     pub finish: bool,
+    /// Whether it was sent before and not answered. It may be in the ledger, which must not be looked up in old
+    /// data then.
+    pub again: bool,
 }
 
 impl Posting {
