Begin the next move of a service where the last one ended

After a completed move, nodes that were told of its end twice forgot that the new version is the one in use. A node that missed the word of a completion before the order was withdrawn barred the version that all leafs run.

The version goes on trial when the order is new, not each time that it is told. Only a version whose reversal is known is barred; one whose end is not known is called where there is no leaf of a proven version (move_after_a_completed_one_begins_there, move_ended_unseen_is_told_by_the_leafs, which failed before).

--- a/crates/edge/src/shift.rs
+++ b/crates/edge/src/shift.rs
@@ -119,6 +119,8 @@
     seen_at: Time,
     /// Versions that the service had before the move was completed. Their leafs stop at once.
     former: SmallVec<[Name; 2]>,
+    /// Whether the order was withdrawn before this node knew the end of the move.
+    is_withdrawn: bool,
     /// Why the state was asked for that the move has here.
     cause: MoveCause,
     /// The latest state asked for.
@@ -232,13 +234,14 @@
         F: FnMut(&Name, Terms) -> Trial,
     {
         self.versions.note_orders();
-        // A version whose order was withdrawn is not to be called.
+        // A version whose order was withdrawn is not called, unless the service turns out to have moved: the
+        // word of the completion may have been missed.
         let is_listed = |name: &Name| orders.iter().any(|(order, _)| order.service == *name);
         for (name, shift) in &mut self.moves {
             if shift.is_running() && !is_listed(name) {
                 shift.order.state = MoveState::RolledBack;
                 shift.wanted = Some(MoveState::RolledBack);
-                shift.end(&mut self.versions);
+                shift.is_withdrawn = true;
             }
         }
         for (order, terms) in orders {
@@ -251,7 +254,6 @@
         F: FnMut(&Name, Terms) -> Trial,
     {
         let service = order.service.clone();
-        self.versions.on_trial(&service, &order.version);
         let mut shift = match self.moves.remove(&service) {
             Some(mut held) if held.is_of(&order) => {
                 held.trial.set_terms(terms);
@@ -259,12 +261,14 @@
                 held
             }
             _ => {
+                self.versions.on_trial(&service, &order.version);
                 let mut trial = begin(&service, terms);
                 trial.note_elapsed(order.elapsed, now);
                 Move {
                     trial,
                     seen_at: now,
                     former: SmallVec::new(),
+                    is_withdrawn: false,
                     cause: MoveCause::Ordered,
                     wanted: None,
                     reported: (0, now),
@@ -294,6 +298,7 @@
         let version = |id: &LeafId| directory.entry(*id).map(|entry| &entry.version);
         let versions = &self.versions;
         let is_proven = |id: &LeafId| version(id).is_some_and(|v| versions.is_proven(service, v));
+        let is_open = |id: &LeafId| version(id).is_some_and(|v| versions.is_open(service, v));
         let Some(shift) = shift else {
             let usual = leafs.into_iter().filter(is_proven).collect();
             return Leafs {
@@ -307,10 +312,17 @@
         };
         let (new, old): (SmallVec<[LeafId; 4]>, SmallVec<[LeafId; 4]>) =
             leafs.into_iter().partition(is_new);
-        let old: SmallVec<[LeafId; 4]> = old.into_iter().filter(is_proven).collect();
+        let (proven, others): (SmallVec<[LeafId; 4]>, SmallVec<[LeafId; 4]>) =
+            old.into_iter().partition(is_proven);
+        let old: SmallVec<[LeafId; 4]> = if proven.is_empty() {
+            others.into_iter().filter(is_open).collect()
+        } else {
+            proven
+        };
         let (usual, trial) = match shift.order.state {
             MoveState::Completed if new.is_empty() => (old, new),
             MoveState::Completed => (new, SmallVec::new()),
+            MoveState::RolledBack if old.is_empty() && shift.is_withdrawn => (new, old),
             MoveState::RolledBack => (old, SmallVec::new()),
             MoveState::Asked | MoveState::Running => {
                 let warm_after = shift.order.duration.mul_f64(WARM_PART);
--- a/crates/edge/src/versions.rs
+++ b/crates/edge/src/versions.rs
@@ -14,8 +14,8 @@
 /// Time between two questions for the orders while none is answered: longer than the store is waited for.
 const ASK_AGAIN: Duration = Duration::from_millis(1_500);
 
-/// Versions of a service that were taken back and are remembered.
-const MOST_BARRED: usize = 8;
+/// Most versions of a service that were on trial and are remembered.
+const MOST_TRIED: usize = 8;
 
 /// A version and when it was first seen.
 type Unproven = (Name, Time);
@@ -28,7 +28,9 @@
     proven: HashMap<Name, SmallVec<[Name; 2]>>,
     /// Versions that may be on trial.
     unproven: HashMap<Name, SmallVec<[Unproven; 2]>>,
-    /// Versions that were taken back.
+    /// Versions that were on trial, oldest first.
+    tried: HashMap<Name, SmallVec<[Name; 2]>>,
+    /// Those of them that were taken back.
     barred: HashMap<Name, SmallVec<[Name; 2]>>,
     /// When the orders were last asked for, until they are told.
     asked_at: Option<Time>,
@@ -48,8 +50,8 @@
     /// Notes the version of a leaf.
     pub(crate) fn saw(&mut self, service: &Name, version: &Name, now: Time) {
         let proven = self.proven.entry(service.clone()).or_default();
-        let barred = self.barred.get(service);
-        if proven.contains(version) || barred.is_some_and(|list| list.contains(version)) {
+        let tried = self.tried.get(service);
+        if proven.contains(version) || tried.is_some_and(|list| list.contains(version)) {
             return;
         }
         if proven.is_empty() || !self.knows_orders {
@@ -68,6 +70,16 @@
         proven.is_some_and(|list| list.contains(version))
     }
 
+    /// Returns whether nothing is known against a version: it was on trial, and how that ended is not known.
+    /// It may be called where there is no leaf of a proven one.
+    pub(crate) fn is_open(&self, service: &str, version: &Name) -> bool {
+        let holds = |lists: &HashMap<Name, SmallVec<[Name; 2]>>| {
+            let list = lists.get(service);
+            list.is_some_and(|list| list.contains(version))
+        };
+        holds(&self.tried) && !holds(&self.barred)
+    }
+
     /// Returns whether all versions of a service are proven.
     pub(crate) fn are_proven(&self, service: &str) -> bool {
         !self.unproven.contains_key(service)
@@ -75,6 +87,7 @@
 
     /// Notes that a version is on trial, so that what holds for it is up to its move.
     pub(crate) fn on_trial(&mut self, service: &Name, version: &Name) {
+        remember(self.tried.entry(service.clone()).or_default(), version);
         if let Some(proven) = self.proven.get_mut(service) {
             proven.retain(|known| known != version);
         }
@@ -89,13 +102,7 @@
     /// Notes that a version was taken back.
     pub(crate) fn bar(&mut self, service: &Name, version: &Name) {
         self.on_trial(service, version);
-        let barred = self.barred.entry(service.clone()).or_default();
-        if !barred.contains(version) {
-            barred.push(version.clone());
-        }
-        if barred.len() > MOST_BARRED {
-            barred.remove(0);
-        }
+        remember(self.barred.entry(service.clone()).or_default(), version);
     }
 
     /// Notes that a service has been moved to a version, and returns those that it had before.
@@ -143,3 +150,13 @@
         });
     }
 }
+
+/// Adds a version to a list, from which the oldest one goes if it gets too long.
+fn remember(list: &mut SmallVec<[Name; 2]>, version: &Name) {
+    if !list.contains(version) {
+        list.push(version.clone());
+    }
+    if list.len() > MOST_TRIED {
+        list.remove(0);
+    }
+}
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -423,3 +423,50 @@
     let same = |posting: &Posting| (posting.sequence, posting.calls, posting.wanted);
     assert_eq!(same(&second), same(&first.posting));
 }
+
+/// Orders of a move that ends unseen by this node.
+#[rstest]
+#[case::withdrawn(vec![])]
+#[case::next_version(vec![MoveOrder {
+    id: 2,
+    version: Name::from("v3"),
+    ..order(MoveState::Running)
+}])]
+fn move_ended_unseen_is_told_by_the_leafs(#[case] orders: Vec<MoveOrder>) {
+    let mut node = node(MoveState::Running);
+    set_moves(&mut node, orders);
+    // While there are old leafs the new ones get nothing.
+    let counts = calls_by_leaf(&mut node);
+    assert!(counts.keys().all(|name| !is_new(name)), "{counts:?}");
+    // The old ones are gone: the service has moved.
+    let moved = vec![new_leaf("new-1"), new_leaf("new-2")];
+    node.step(|edge, now, out| edge.replace_leafs(moved, now, out));
+    assert!(calls_by_leaf(&mut node).keys().all(|name| is_new(name)));
+    let token = node.request("r");
+    assert!(node.reply(token).is_none(), "{:?}", node.reply(token));
+}
+
+/// The next move begins where a completed one ended, however often its end is told.
+#[test]
+fn move_after_a_completed_one_begins_there() {
+    let mut node = node(MoveState::Running);
+    for _ in 0..2 {
+        set_moves(&mut node, vec![order(MoveState::Completed)]);
+    }
+    set_moves(&mut node, vec![]);
+    let next = MoveOrder {
+        id: 2,
+        version: Name::from("v3"),
+        ..order(MoveState::Running)
+    };
+    set_moves(&mut node, vec![next.clone()]);
+    let counts = calls_by_leaf(&mut node);
+    assert!(counts.keys().all(|name| is_new(name)), "{counts:?}");
+    assert_eq!(counts.values().sum::<usize>(), 40);
+    let back = MoveOrder {
+        state: MoveState::RolledBack,
+        ..next
+    };
+    set_moves(&mut node, vec![back]);
+    assert_eq!(calls_by_leaf(&mut node).values().sum::<usize>(), 40);
+}
