Take a move back for a missing order only once the store confirms it

It took the order for withdrawn, which stayed so, and since the old leafs were lost then it called the new ones without permits.

An order that is missing in a list is looked up in the store first; until then the move goes on, bounded by its ledger. An earlier order of a service does not replace a later one (move_told_by_someone_behind_goes_on).

--- a/crates/edge/src/shift.rs
+++ b/crates/edge/src/shift.rs
@@ -119,7 +119,9 @@
     seen_at: Time,
     /// Versions that the service had before the move was completed. Their leafs stop at once.
     former: SmallVec<[Name; 2]>,
-    /// Whether the order was withdrawn before this node knew the end of the move.
+    /// Since when the order is missing in what this node is told, which may be older than what it knows.
+    missing_since: Option<Time>,
+    /// Whether the store has confirmed that the order was withdrawn before this node knew the end of the move.
     is_withdrawn: bool,
     /// Why the state was asked for that the move has here.
     cause: MoveCause,
@@ -234,14 +236,11 @@
         F: FnMut(&Name, Terms) -> Trial,
     {
         self.versions.note_orders();
-        // A version whose order was withdrawn is not called, unless the service turns out to have moved: the
-        // word of the completion may have been missed.
         let is_listed = |name: &Name| orders.iter().any(|(order, _)| order.service == *name);
         for (name, shift) in &mut self.moves {
-            if shift.is_running() && !is_listed(name) {
-                shift.order.state = MoveState::RolledBack;
-                shift.wanted = Some(MoveState::RolledBack);
-                shift.is_withdrawn = true;
+            if shift.is_running() && !is_listed(name) && shift.missing_since.is_none() {
+                shift.missing_since = Some(now);
+                self.versions.doubt(now);
             }
         }
         for (order, terms) in orders {
@@ -255,7 +254,10 @@
     {
         let service = order.service.clone();
         let mut shift = match self.moves.remove(&service) {
+            // Told by someone who is behind.
+            Some(held) if held.order.id > order.id => held,
             Some(mut held) if held.is_of(&order) => {
+                held.missing_since = None;
                 held.trial.set_terms(terms);
                 held.update(order, now);
                 held
@@ -268,6 +270,7 @@
                     trial,
                     seen_at: now,
                     former: SmallVec::new(),
+                    missing_since: None,
                     is_withdrawn: false,
                     cause: MoveCause::Ordered,
                     wanted: None,
@@ -436,6 +439,15 @@
     /// Notes that the store has told the orders that it was asked for at `asked_at`, and that they are known.
     pub(crate) fn orders_told(&mut self, asked_at: Time) {
         self.versions.answered(asked_at);
+        // A version whose order was withdrawn is not called, unless the service turns out to have moved: the
+        // word of the completion may have been missed.
+        for shift in self.moves.values_mut() {
+            if shift.missing_since.is_some_and(|since| since <= asked_at) && shift.is_running() {
+                shift.order.state = MoveState::RolledBack;
+                shift.wanted = Some(MoveState::RolledBack);
+                shift.is_withdrawn = true;
+            }
+        }
     }
 
     /// Returns the states to ask for, each once.
--- a/crates/edge/src/versions.rs
+++ b/crates/edge/src/versions.rs
@@ -32,6 +32,8 @@
     tried: HashMap<Name, SmallVec<[Name; 2]>>,
     /// Those of them that were taken back.
     barred: HashMap<Name, SmallVec<[Name; 2]>>,
+    /// Since when it is in doubt whether an order was withdrawn.
+    doubted_at: Option<Time>,
     /// When the orders were last asked for, until they are told.
     asked_at: Option<Time>,
 }
@@ -129,13 +131,22 @@
     /// Returns when the orders are to be asked for, if they are.
     pub(crate) fn next_ask(&self) -> Option<Time> {
         let again = self.asked_at.map(|at| at + ASK_AGAIN);
-        (!self.unproven.is_empty()).then(|| again.unwrap_or_default())
+        let is_asked = !self.unproven.is_empty() || self.doubted_at.is_some();
+        is_asked.then(|| again.unwrap_or_default())
+    }
+
+    /// Notes that it is in doubt whether an order was withdrawn: the store is to be asked.
+    pub(crate) fn doubt(&mut self, now: Time) {
+        self.doubted_at = Some(now);
     }
 
     /// Notes that the store was asked for the orders at `asked_at`, and that what it told is known. Versions
     /// seen before that have no order.
     pub(crate) fn answered(&mut self, asked_at: Time) {
         self.asked_at = None;
+        if self.doubted_at.is_some_and(|at| at <= asked_at) {
+            self.doubted_at = None;
+        }
         let proven = &mut self.proven;
         self.unproven.retain(|service, versions| {
             versions.retain(|(version, seen_at)| {
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -434,7 +434,10 @@
 }])]
 fn move_ended_unseen_is_told_by_the_leafs(#[case] orders: Vec<MoveOrder>) {
     let mut node = node(MoveState::Running);
-    set_moves(&mut node, orders);
+    set_moves(&mut node, orders.clone());
+    if let Some(asked) = node.asked.take() {
+        node.step(|edge, now, out| edge.orders_told(orders, asked, now, out));
+    }
     // While there are old leafs the new ones get nothing.
     let counts = calls_by_leaf(&mut node);
     assert!(counts.keys().all(|name| !is_new(name)), "{counts:?}");
@@ -470,3 +473,30 @@
     set_moves(&mut node, vec![back]);
     assert_eq!(calls_by_leaf(&mut node).values().sum::<usize>(), 40);
 }
+
+/// What is older than the order that a node knows takes it back no more than it lets the version go on: neither a
+/// list without the order, nor one with an earlier order of the service.
+#[rstest]
+#[case::without_the_order(vec![])]
+#[case::earlier_order(vec![MoveOrder {
+    id: 0,
+    version: Name::from("v0"),
+    ..order(MoveState::RolledBack)
+}])]
+fn move_told_by_someone_behind_goes_on(#[case] orders: Vec<MoveOrder>) {
+    let mut node = node(MoveState::Running);
+    set_moves(&mut node, orders);
+    set_moves(&mut node, vec![order(MoveState::Running)]);
+    if let Some(asked) = node.asked.take() {
+        let present = vec![order(MoveState::Running)];
+        node.step(|edge, now, out| edge.orders_told(present, asked, now, out));
+    }
+    // It is on trial as before.
+    let played = play(&mut node, Duration::from_secs(2), |_, _| false);
+    assert!(played.to_new > 0, "{played:?}");
+    // Taken back, it gets nothing, though the old leafs are lost.
+    set_moves(&mut node, vec![order(MoveState::RolledBack)]);
+    let known = vec![new_leaf("new-1"), new_leaf("new-2")];
+    node.step(|edge, now, out| edge.replace_leafs(known, now, out));
+    assert!(calls_by_leaf(&mut node).is_empty());
+}
