--- a/crates/edge/tests/common/fleet.rs
+++ b/crates/edge/tests/common/fleet.rs
@@ -190,13 +190,17 @@
 
 impl Fleet {
     pub fn new(load: Load, badness: Badness, trouble: Trouble) -> Self {
+        Self::with_seed(load, badness, trouble, 12_345)
+    }
+
+    pub fn with_seed(load: Load, badness: Badness, trouble: Trouble, seed: u64) -> Self {
         let mut fleet = Self {
             load,
             badness,
             trouble,
             nodes: Vec::new(),
             store: Store::default(),
-            rng: SmallRng::seed_from_u64(12_345),
+            rng: SmallRng::seed_from_u64(seed),
             due: (0..load.nodes).map(|_| Vec::new()).collect(),
             seen: vec![HashSet::new(); load.nodes],
             latest: Vec::new(),
--- a/crates/edge/tests/fleet.rs
+++ b/crates/edge/tests/fleet.rs
@@ -79,3 +79,27 @@
     assert!(is_in_time, "{played:?}");
     assert_eq!(played.rolled_back, None);
 }
+
+/// The few bad answers of a version are not seen, it is completed, and gets requests late.
+#[rstest]
+#[case::few_of_many(3, MANY, Badness::Fails(5, 0), Trouble::TurnsAway(1_000))]
+#[case::nodes_that_start_anew(4, SPARSE, Badness::Slow(4, 7_500), Trouble::AllRestart(5_000))]
+fn exposure_of_an_unseen_fault(
+    #[case] seed: u64,
+    #[case] load: Load,
+    #[case] badness: Badness,
+    #[case] trouble: Trouble,
+) {
+    assert_within(&Fleet::with_seed(load, badness, trouble, seed).play());
+}
+
+/// A good version is not shown to bear the load, and is taken back.
+#[rstest]
+fn good_version_with_few_calls_and_nodes_is_completed(#[values(1, 3)] seed: u64) {
+    let trouble = Trouble::TurnsAway(1_000);
+    let played = Fleet::with_seed(SPARSE, Badness::Good, trouble, seed).play();
+    assert!(
+        played.completed.is_some_and(|at| at <= DURATION),
+        "{played:?}"
+    );
+}
