Keep to what leafs say about themselves: leaving, and for how long they want no calls

Cause: an answer with the field that a leaf is leaving, or a 503 with Retry-After, was passed on or retried without a look at the words; the leaf got the next call as before, out of touch with the registry for as long as it lived.

Change: the gateway reads the words in every answer that is the leaf's (identity of the request, or a signature or the mark 'not run' where none is echoed; also in answers to name checks). The directory keeps them by incarnation, beyond the life of the registry's entry. A leaf that is leaving gets no call until it is born anew; one that asked for a break gets none until its end, spread a little over the nodes, and then one call more for each that it serves. Calls that are not written yet are taken back and go elsewhere. Breaks are applied after a version move has decided, so that resting old leafs send nothing to a version taken back. A request that finds all leafs resting waits if one returns within half of the objective, else it is rejected at once with the time of that return.

--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -8,6 +8,7 @@
 use monsoondeal_core::{CallId, LeafId};
 
 use crate::config::Name;
+use crate::leaf_notices::NoticeTaken;
 use crate::ledger_client::MovePost;
 use crate::segment::SegmentCall;
 use crate::version_moves::{MoveDecision, MoveReport};
@@ -91,6 +92,8 @@
     pub leaf: LeafId,
     /// Name of the leaf; another leaf at its address refuses a call that carries this name.
     pub instance: Name,
+    /// Start of the leaf, in Unix milliseconds.
+    pub born: u64,
     /// Address at which the leaf accepts connections.
     pub addr: SocketAddr,
     /// Time that the leaf has to answer.
@@ -193,12 +196,18 @@
     Send(LeafCall),
     /// Cancel a call and close its connection.
     Cancel(CallId),
+    /// End a call as [`CallOutcome::Unsent`] if nothing of it has been written yet.
+    Withhold(CallId),
     /// Respond to a caller.
     Reply(Token, Reply, Summary),
     /// Close the idle connections to a leaf.
     CloseIdle(LeafId),
     /// Log an event of a request.
     Log(Token, RequestEvent),
+    /// Log what a leaf said about itself.
+    LogNotice(NoticeTaken),
+    /// Log that a leaf gets one call during a break that it asked for.
+    LogProbe(Name),
     /// Record a change of a version move's state in the store.
     Move(MoveDecision),
     /// Write a posting to the ledger of a version move, and pass the reply to
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 
 use crate::config::Name;
+use crate::leaf_notices::{LeafNotice, LeafNotices, NoticeTaken};
 use crate::segment::is_segment;
 
 /// How long a leaf is held after its entry vanished while the registry may have lost entries. Covers the
@@ -82,6 +83,8 @@
     closed_domains: HashSet<Name>,
     /// Leafs at whose addresses other leafs were found, with the time until which they are not called.
     displaced: DeterministicMap<LeafId, Time>,
+    /// What leafs said about themselves. Outlives their entries.
+    notices: LeafNotices,
     /// Leafs whose entries vanish before this time are held.
     hold_until: Time,
     /// Times at which entries vanished, within the last [`VANISH_SPAN`].
@@ -110,6 +113,7 @@
             }
         }
         let replaced = known.inspect(|&id| self.forget(id));
+        self.notices.listed(&entry.name);
         let id = LeafId(self.next_id);
         self.next_id += 1;
         self.names.insert(entry.name.clone(), id);
@@ -146,7 +150,7 @@
             leaf.drop_at.get_or_insert(now + VANISHED_HOLD);
             return Removal::Held(id);
         }
-        self.forget(id);
+        self.retire(id, now);
         Removal::Retired(id)
     }
 
@@ -205,6 +209,57 @@
         }
     }
 
+    /// Records what an answer of a leaf said about the leaf, whether or not its entry is still known; see
+    /// [`LeafNotices::record`].
+    pub(crate) fn note_notice(
+        &mut self,
+        (name, born): (&Name, u64),
+        notice: LeafNotice,
+        spread: f64,
+        now: Time,
+    ) -> Option<NoticeTaken> {
+        let taken = self.notices.record(name, born, notice, spread, now);
+        if !self.names.contains_key(name) {
+            self.notices.vanished(name, now);
+        }
+        taken
+    }
+
+    /// Returns the known incarnation of a leaf that started at `born`.
+    pub(crate) fn find(&self, name: &str, born: u64) -> Option<LeafId> {
+        let id = *self.names.get(name)?;
+        (self.entry(id)?.born == born).then_some(id)
+    }
+
+    /// Returns until when a leaf wants no calls, if it does so at present.
+    pub fn break_end(&self, id: LeafId, now: Time) -> Option<Time> {
+        let entry = self.entry(id)?;
+        self.notices.break_end(&entry.name, entry.born, now)
+    }
+
+    /// Returns how many concurrent calls a leaf may get from this node after a break; `None` if that is not
+    /// limited.
+    pub(crate) fn call_limit(&self, id: LeafId) -> Option<usize> {
+        let entry = self.entry(id)?;
+        self.notices.call_limit(&entry.name, entry.born)
+    }
+
+    /// Records a call sent to a leaf. Returns whether it is the only one during a break that the leaf asked for.
+    pub(crate) fn note_call(&mut self, id: LeafId, now: Time) -> bool {
+        let Some(entry) = self.leafs.get(&id).map(|leaf| &leaf.entry) else {
+            return false;
+        };
+        self.notices.call_sent(&entry.name, entry.born, now)
+    }
+
+    /// Records that a leaf served a call that was sent at `sent_at`.
+    pub(crate) fn note_served(&mut self, id: LeafId, sent_at: Time, now: Time) {
+        if let Some(entry) = self.leafs.get(&id).map(|leaf| &leaf.entry) {
+            let (name, born) = (&entry.name, entry.born);
+            self.notices.call_served(name, born, sent_at, now);
+        }
+    }
+
     /// Returns whether a leaf is known to have been alive within the last `span`.
     pub fn was_alive(&self, id: LeafId, span: Duration, now: Time) -> bool {
         let alive_at = self.leafs.get(&id).and_then(|leaf| leaf.alive_at);
@@ -223,7 +278,7 @@
             .map(|(id, _)| *id)
             .collect();
         for &id in &gone {
-            self.forget(id);
+            self.retire(id, now);
         }
         gone
     }
@@ -249,7 +304,7 @@
             .is_some_and(|entry| is_segment(&entry.service))
     }
 
-    /// Returns the leafs of a service that may get new work.
+    /// Returns the leafs of a service that may get new work, now or after a break that they asked for.
     pub fn usable(&self, service: &str) -> SmallVec<[LeafId; 4]> {
         let Some(ids) = self.services.get(service) else {
             return SmallVec::new();
@@ -260,10 +315,11 @@
             .collect()
     }
 
-    /// Returns whether a leaf may get new work.
+    /// Returns whether a leaf may get new work, now or after a break that it asked for.
     pub fn is_usable(&self, id: LeafId) -> bool {
         self.leafs.get(&id).is_some_and(|leaf| {
             !leaf.entry.draining
+                && !self.notices.is_leaving(&leaf.entry.name, leaf.entry.born)
                 && !self.displaced.contains_key(&id)
                 && !self.closed_domains.contains(&leaf.entry.domain)
         })
@@ -291,6 +347,14 @@
         self.leafs.is_empty()
     }
 
+    /// Drops a leaf whose entry vanished.
+    fn retire(&mut self, id: LeafId, now: Time) {
+        if let Some(entry) = self.leafs.get(&id).map(|leaf| &leaf.entry) {
+            self.notices.vanished(&entry.name, now);
+        }
+        self.forget(id);
+    }
+
     fn forget(&mut self, id: LeafId) {
         self.displaced.remove(&id);
         let Some(leaf) = self.leafs.remove(&id) else {
--- a/crates/edge/src/edge/arrival.rs
+++ b/crates/edge/src/edge/arrival.rs
@@ -5,6 +5,7 @@
 
 use monsoondeal_core::Time;
 use rand::RngExt;
+use smallvec::SmallVec;
 
 use super::{Edge, tracker};
 use crate::action::{Action, Reply, RequestHead, Summary, Token};
@@ -15,7 +16,7 @@
 use crate::segment::{SegmentCall, is_segment, segment_name, segment_range, shards_digest};
 
 /// Maximum expected wait for a leaf, as a share of the objective.
-const QUEUE_SHARE: f64 = 0.5;
+pub(super) const QUEUE_SHARE: f64 = 0.5;
 /// Processor time reserved for merging the answers of segments and writing the response.
 const MERGE_CPU_TIME: Duration = Duration::from_micros(600);
 /// Processor time reserved for sending the call for a segment and reading its answer.
@@ -226,14 +227,24 @@
             Target::Service(_) | Target::Split(_) => 1,
         };
         let limit = route.objective.mul_f64(QUEUE_SHARE);
-        let mut unavailable = 0;
+        // Times after which the services without a leaf to call may have one.
+        let mut returns: SmallVec<[Duration; 4]> = SmallVec::new();
+        let mut has_break = false;
         let mut overloaded = 0;
         let mut longest_wait = Duration::ZERO;
         for (service, _) in services {
             let leafs = self.callable(service, now);
             if leafs.is_empty() {
-                self.moves.call_missed(service);
-                unavailable += 1;
+                let Some(return_at) = self.first_return(service, now) else {
+                    self.moves.call_missed(service);
+                    returns.push(NO_LEAF_RETRY_AFTER);
+                    continue;
+                };
+                let wait = return_at.since(now);
+                if wait > limit {
+                    has_break = true;
+                    returns.push(wait);
+                }
                 continue;
             }
             let wait = self.expected_wait(service, leafs.len(), route);
@@ -242,10 +253,18 @@
                 longest_wait = longest_wait.max(wait);
             }
         }
-        if services.len() < needed + unavailable {
+        let unavailable = returns.len();
+        if let Some(lacking) = (needed + unavailable).checked_sub(services.len() + 1) {
+            returns.sort();
+            let reason = if has_break {
+                "the leafs of too many shards want no calls"
+            } else {
+                "no leaf is known for too many shards"
+            };
             return Some(Reply::Rejected {
-                reason: "no leaf is known for too many shards",
-                retry_after: NO_LEAF_RETRY_AFTER,
+                reason,
+                // When as many services as are lacking may have a leaf again.
+                retry_after: returns[lacking],
             });
         }
         if services.len() < needed + unavailable + overloaded {
--- a/crates/edge/src/edge/call_outcome.rs
+++ b/crates/edge/src/edge/call_outcome.rs
@@ -269,6 +269,9 @@
 
     /// Records what the end of a call shows about whether its leaf is alive at its address.
     fn update_liveness(&mut self, call: &Call, outcome: &CallOutcome, now: Time) {
+        if matches!(outcome, CallOutcome::Answer(answer) if answer.is_success()) {
+            self.directory.note_served(call.leaf, call.sent_at, now);
+        }
         match outcome {
             CallOutcome::Answer(_) | CallOutcome::Refused => {
                 self.directory.note_alive(call.leaf, call.sent_at)
--- a/crates/edge/src/edge/dispatch.rs
+++ b/crates/edge/src/edge/dispatch.rs
@@ -6,6 +6,7 @@
 use monsoondeal_core::{CallId, LeafId, Time};
 use smallvec::SmallVec;
 
+use super::arrival::QUEUE_SHARE;
 use super::{Call, Edge, Waiter, tracker};
 use crate::action::{Action, LeafCall, Token};
 use crate::config::{Config, Name, Service};
@@ -103,10 +104,22 @@
         self.next_cold.insert(id, now + pause);
     }
 
-    /// Returns which of a service's leafs a call may go to.
+    /// Returns which of a service's leafs a call may go to. Leafs that asked for a break are left out only after
+    /// the version move has decided: a break of the old leafs sends no more calls to the new version.
     pub(super) fn callable(&mut self, service: &str, now: Time) -> CallableLeafs {
         let usable = self.directory.usable(service);
-        self.moves.callable(service, usable, &self.directory, now)
+        let mut leafs = self.moves.callable(service, usable, &self.directory, now);
+        let directory = &self.directory;
+        leafs.retain(|id| directory.break_end(id, now).is_none());
+        leafs
+    }
+
+    /// Returns when the first leaf of a service that asked for a break may be called again, if there is one.
+    pub(super) fn first_return(&self, service: &str, now: Time) -> Option<Time> {
+        let usable = self.directory.usable(service).into_iter();
+        usable
+            .filter_map(|id| self.directory.break_end(id, now))
+            .min()
     }
 
     /// Sends a call for a shard, lets the shard wait for a leaf, or gives it up if no leaf is left.
@@ -139,7 +152,7 @@
         let mut leafs = leafs.stable_or_trial();
         leafs.retain(|id| !tried.contains(id));
         if leafs.is_empty() {
-            self.lose_shard(token, shard_index, "no leaf is left", out);
+            self.await_return(token, shard_index, now, out);
             return;
         }
         let picked = self.pick(&trial, &service, now);
@@ -149,12 +162,43 @@
         }
     }
 
+    /// Lets a shard without a leaf to call wait for the end of a break, if that comes soon enough, or gives it up.
+    fn await_return(&mut self, token: Token, shard_index: usize, now: Time, out: &mut Vec<Action>) {
+        let Some(request) = self.pending.get(&token) else {
+            return;
+        };
+        let shard = &request.shards[shard_index];
+        let Some(return_at) = self.first_return(&shard.service, now) else {
+            self.lose_shard(token, shard_index, "no leaf is left", out);
+            return;
+        };
+        let latest = request.received_at + request.route.objective.mul_f64(QUEUE_SHARE);
+        let may_wait = shard.possible_runs == 0 && return_at <= latest;
+        let Some(request) = self.pending.get_mut(&token) else {
+            return;
+        };
+        if !may_wait {
+            request.retry_at = request.retry_at.max(return_at);
+            self.lose_shard(token, shard_index, "the leafs want no calls", out);
+            return;
+        }
+        let shard = &mut request.shards[shard_index];
+        shard.tried.clear();
+        shard.not_before = return_at;
+        self.enqueue(token, shard_index, return_at);
+    }
+
+    /// Returns whether a leaf that returns from a break may get one more call of this node.
+    fn is_within_return_limit(&self, id: LeafId) -> bool {
+        let limit = self.directory.call_limit(id);
+        limit.is_none_or(|limit| self.selector.running(id) < limit)
+    }
+
     pub(super) fn pick(&mut self, leafs: &[LeafId], service: &str, now: Time) -> Option<LeafId> {
         let limit = self.connection_limit(service);
-        let within_rate = leafs
-            .iter()
-            .copied()
-            .filter(|&id| self.is_within_cold_rate(id, service, now));
+        let within_rate = leafs.iter().copied().filter(|&id| {
+            self.is_within_cold_rate(id, service, now) && self.is_within_return_limit(id)
+        });
         let within_rate: SmallVec<[LeafId; 4]> = within_rate.collect();
         self.selector.pick(within_rate, limit, now, &mut self.rng)
     }
@@ -203,6 +247,7 @@
             token,
             leaf,
             instance: entry.name.clone(),
+            born: entry.born,
             addr: entry.addr,
             timeout: request.deadline.since(now),
             check_path,
@@ -212,6 +257,10 @@
         }));
         self.counts.calls += 1;
         let version = entry.version.clone();
+        let name = entry.name.clone();
+        if self.directory.note_call(leaf, now) {
+            out.push(Action::LogProbe(name));
+        }
         self.counts.trials += u64::from(self.moves.call_sent(&service, &version, now));
         self.selector.call_sent(leaf);
         self.calls.insert(
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -122,6 +122,10 @@
     pub unchecked: u64,
     /// Calls that were not sent since another leaf has the address.
     pub displaced: u64,
+    /// Leafs that said in an answer that they are leaving.
+    pub leaving: u64,
+    /// Breaks that leafs asked for, extensions included.
+    pub breaks: u64,
 }
 
 /// A call under way.
--- a/crates/edge/src/edge/updates.rs
+++ b/crates/edge/src/edge/updates.rs
@@ -11,6 +11,7 @@
 use crate::action::Action;
 use crate::config::{Config, Name};
 use crate::directory::{LeafEntry, Removal};
+use crate::leaf_notices::LeafNotice;
 use crate::ledger_client::{LedgerClient, MovePost};
 use crate::segment::{Peer, segment_size, serving_nodes};
 use crate::version_moves::MoveOrder;
@@ -81,6 +82,35 @@
         removal
     }
 
+    /// Records what an answer of a leaf said about the leaf, which started at `born`, in Unix milliseconds. Calls to
+    /// it that have not been written yet go to other leafs.
+    pub fn note_leaf(
+        &mut self,
+        (name, born): (&Name, u64),
+        notice: LeafNotice,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let spread = self.rng.random();
+        let taken = self
+            .directory
+            .note_notice((name, born), notice, spread, now);
+        let Some(taken) = taken else {
+            return;
+        };
+        self.counts.leaving += u64::from(notice.leaving);
+        self.counts.breaks += u64::from(taken.no_calls_for.is_some());
+        out.push(Action::LogNotice(taken));
+        let Some(leaf) = self.directory.find(name, born) else {
+            return;
+        };
+        if notice.leaving {
+            out.push(Action::CloseIdle(leaf));
+        }
+        let calls = self.calls.iter().filter(|(_, call)| call.leaf == leaf);
+        out.extend(calls.map(|(id, _)| Action::Withhold(*id)));
+    }
+
     /// Replaces all leafs by a full listing.
     pub fn replace_leafs(&mut self, entries: Vec<LeafEntry>, now: Time, out: &mut Vec<Action>) {
         self.leafs_listed = true;
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -131,6 +131,8 @@
     pub(crate) reply_reserve: Duration,
     /// Whether the request comes from another node, which asks for a segment of a query.
     pub(crate) from_peer: bool,
+    /// When leafs that asked for a break return, of shards that were given up for it.
+    pub(crate) retry_at: Time,
     /// Time of the timer that is set for the request.
     pub(crate) wake_at: Time,
 }
@@ -162,6 +164,7 @@
             digest: None,
             reply_reserve: Duration::ZERO,
             from_peer: false,
+            retry_at: now,
             wake_at: Time::MAX,
             route,
         }
@@ -188,7 +191,7 @@
     pub(crate) fn reply(&self, now: Time) -> Option<Reply> {
         let reply = match self.gather() {
             Some(gather) => self.merged_reply(gather, now),
-            None => self.single_reply(),
+            None => self.single_reply(now),
         };
         reply.or_else(|| (now >= self.deadline).then_some(Reply::TimedOut))
     }
@@ -264,7 +267,7 @@
         let closed = self.shards.iter().filter(|shard| !shard.is_open());
         let lost: usize = closed.map(|shard| shard.weight - shard.answered()).sum();
         if all - lost < needed {
-            return Some(self.failure_reply("too few shards can be served"));
+            return Some(self.failure_reply("too few shards can be served", now));
         }
         let all_closed = done + lost == all;
         if done >= needed && (all_closed || now >= self.answer_by) {
@@ -292,19 +295,19 @@
         }
     }
 
-    fn single_reply(&self) -> Option<Reply> {
+    fn single_reply(&self, now: Time) -> Option<Reply> {
         match &self.shards.first()?.state {
             ShardState::Open => None,
             ShardState::Done(answer) | ShardState::Lost(Some(answer)) => {
                 Some(Reply::Answer(answer.clone()))
             }
-            ShardState::Lost(None) => Some(self.failure_reply("no leaf served the request")),
+            ShardState::Lost(None) => Some(self.failure_reply("no leaf served the request", now)),
         }
     }
 
     /// Returns the reply to a request that cannot be served. It states that the request has not run only if
     /// no call can have run.
-    fn failure_reply(&self, reason: &'static str) -> Reply {
+    fn failure_reply(&self, reason: &'static str, now: Time) -> Reply {
         if self.shards.iter().any(|shard| shard.possible_runs > 0) {
             return Reply::Failed(reason);
         }
@@ -316,7 +319,7 @@
         };
         Reply::Rejected {
             reason,
-            retry_after,
+            retry_after: retry_after.max(self.retry_at.since(now)),
         }
     }
 }
--- a/crates/edge/src/version_moves.rs
+++ b/crates/edge/src/version_moves.rs
@@ -187,6 +187,15 @@
 }
 
 impl CallableLeafs {
+    /// Keeps the leafs for which `keep` returns true.
+    pub(crate) fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(LeafId) -> bool,
+    {
+        self.stable.retain(|id| keep(*id));
+        self.trial.retain(|id| keep(*id));
+    }
+
     /// Returns whether there are no leafs.
     pub(crate) fn is_empty(&self) -> bool {
         self.stable.is_empty() && self.trial.is_empty()
--- a/crates/edge/tests/common/load_simulation.rs
+++ b/crates/edge/tests/common/load_simulation.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use monsoondeal_core::{CallId, Time};
-use monsoondeal_edge::{CallOutcome, LeafEntry, Reply, Token};
+use monsoondeal_edge::{CallOutcome, LeafEntry, LeafNotice, Name, Reply, Token};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -29,6 +29,8 @@
     Silent,
     /// Refuses all calls.
     Shedding,
+    /// Refuses all calls, and wants none from the same node for this long.
+    Resting(Duration),
     /// Refuses this share of the calls, chosen at random, and runs the others.
     PartlyShedding(f64),
     /// Accepts no connections, so that calls are not sent.
@@ -48,6 +50,17 @@
     pub pause: (Duration, Duration),
 }
 
+/// Break that a leaf asked a node for, and the calls that arrived in it nevertheless.
+struct Break {
+    /// Calls that arrive from then on count; earlier ones may have been under way.
+    since: Time,
+    until: Time,
+    arrivals: usize,
+}
+
+/// Time for which calls may arrive after a leaf has asked for a break.
+const BREAK_GRACE: Duration = Duration::from_millis(500);
+
 struct Leaf {
     running: usize,
     queue: VecDeque<NodeCall>,
@@ -89,6 +102,8 @@
     events: BinaryHeap<Reverse<(Time, bool, NodeCall)>>,
     /// Route and objective of all requests, by node and token.
     requests: BTreeMap<(usize, Token), (String, Duration)>,
+    /// Breaks by node and leaf.
+    breaks: HashMap<(usize, String), Vec<Break>>,
     rng: SmallRng,
 }
 
@@ -115,6 +130,7 @@
             called_leafs: HashMap::new(),
             events: BinaryHeap::new(),
             requests: BTreeMap::new(),
+            breaks: HashMap::new(),
             rng,
         }
     }
@@ -193,6 +209,34 @@
         stats
     }
 
+    /// Returns the most calls of one node that arrived at a leaf in one break.
+    pub fn most_arrivals_in_break(&self) -> usize {
+        let breaks = self.breaks.values().flatten();
+        breaks.map(|one| one.arrivals).max().unwrap_or(0)
+    }
+
+    /// Returns how many breaks leafs have asked for.
+    pub fn break_count(&self) -> usize {
+        self.breaks.values().map(Vec::len).sum()
+    }
+
+    /// Refuses a call of a node to a leaf that wants no calls from it for `pause`.
+    fn refuse_for(&mut self, call: NodeCall, leaf: &str, pause: Duration, now: Time) {
+        let breaks = self.breaks.entry((call.0, leaf.to_owned())).or_default();
+        breaks.push(Break {
+            since: now + BREAK_GRACE,
+            until: now + pause,
+            arrivals: 0,
+        });
+        let notice = LeafNotice {
+            leaving: false,
+            pause: Some(pause),
+        };
+        let node = &mut self.nodes[call.0];
+        node.apply(|edge, now, out| edge.note_leaf((&Name::from(leaf), 1), notice, now, out));
+        node.end_call(call.1, CallOutcome::Refused);
+    }
+
     fn advance(&mut self) {
         self.schedule_arrivals();
         let until = self.now() + TIME_STEP;
@@ -228,10 +272,11 @@
 
     fn handle_arrival(&mut self, call: NodeCall, now: Time) {
         let profile = self.profile;
-        let leaf = self
-            .leafs
-            .get_mut(&self.called_leafs[&call])
-            .expect("the leaf exists");
+        let name = self.called_leafs[&call].clone();
+        for one in self.breaks.entry((call.0, name.clone())).or_default() {
+            one.arrivals += usize::from(now >= one.since && now < one.until);
+        }
+        let leaf = self.leafs.get_mut(&name).expect("the leaf exists");
         match leaf.mode {
             LeafMode::PartlyShedding(share) if self.rng.random_bool(share) => {
                 return self.nodes[call.0].end_call(call.1, CallOutcome::Refused);
@@ -239,6 +284,7 @@
             LeafMode::Healthy | LeafMode::PartlyShedding(_) => {}
             LeafMode::Silent => return,
             LeafMode::Shedding => return self.nodes[call.0].end_call(call.1, CallOutcome::Refused),
+            LeafMode::Resting(pause) => return self.refuse_for(call, &name, pause, now),
             LeafMode::Unreachable => {
                 return self.nodes[call.0].end_call(call.1, CallOutcome::Unsent);
             }
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -12,8 +12,8 @@
 use monsoondeal_core::{CallId, Time};
 use monsoondeal_edge::{
     Action, Answer, CallOutcome, Config, Edge, EdgeSettings, Gather, LeafCall, LeafEntry, Limits,
-    MoveDecision, MovePost, MoveReport, Name, Repeat, Reply, RequestEvent, RequestHead, Route,
-    Service, Summary, Target, Token,
+    MoveDecision, MovePost, MoveReport, Name, NoticeTaken, Repeat, Reply, RequestEvent,
+    RequestHead, Route, Service, Summary, Target, Token,
 };
 use monsoondeal_moves::{Ledger, OrderKey, PostingReply};
 
@@ -134,6 +134,12 @@
     pub calls: Vec<LeafCall>,
     /// Calls that the node cancelled.
     pub cancelled: HashSet<CallId>,
+    /// Calls that the node wants back if nothing of them has been written.
+    pub withheld: HashSet<CallId>,
+    /// What leafs said about themselves, as logged.
+    pub notices: Vec<NoticeTaken>,
+    /// Leafs that got a single call during a break.
+    pub probes: Vec<Name>,
     /// Replies to callers, at most one for each request.
     pub replies: BTreeMap<Token, (Reply, Summary)>,
     /// Events of requests that the node logged.
@@ -169,6 +175,9 @@
             now: Time::from_millis(1_000),
             calls: Vec::new(),
             cancelled: HashSet::new(),
+            withheld: HashSet::new(),
+            notices: Vec::new(),
+            probes: Vec::new(),
             replies: BTreeMap::new(),
             events: Vec::new(),
             decisions: Vec::new(),
@@ -202,7 +211,12 @@
                     let previous = self.replies.insert(token, (reply, summary));
                     assert!(previous.is_none(), "two replies to {token:?}");
                 }
+                Action::Withhold(id) => {
+                    self.withheld.insert(id);
+                }
                 Action::Log(_, event) => self.events.push(event),
+                Action::LogNotice(taken) => self.notices.push(taken),
+                Action::LogProbe(leaf) => self.probes.push(leaf),
                 Action::CloseIdle(_) => {}
                 Action::Move(decision) => self.decisions.push(decision),
                 Action::Report(report) => self.reports.push(report),
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -21,7 +21,7 @@
 ];
 
 /// All counters.
-pub(crate) const COUNTERS: [Counter<MetricValues>; 20] = [
+pub(crate) const COUNTERS: [Counter<MetricValues>; 22] = [
     ("requests", "Requests of callers", |v| v.counts.requests),
     ("answered", "Requests answered in full", |v| {
         v.counts.answered
@@ -78,6 +78,14 @@
         "Calls not sent since another leaf has the address",
         |v| v.counts.displaced,
     ),
+    (
+        "leaving",
+        "Leafs that said in an answer that they are leaving",
+        |v| v.counts.leaving,
+    ),
+    ("breaks", "Breaks without calls that leafs asked for", |v| {
+        v.counts.breaks
+    }),
 ];
 
 /// All gauges.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -8,8 +8,8 @@
 use hyper::{HeaderMap, Method, Uri};
 use monsoondeal_core::{CallId, Time};
 use monsoondeal_edge::{
-    CallOutcome, Config, EdgeSettings, LeafEntry, MoveDecision, MoveOrder, MovePost, Name, Peer,
-    Reply, SegmentCall, Token,
+    CallOutcome, Config, EdgeSettings, LeafEntry, LeafNotice, MoveDecision, MoveOrder, MovePost,
+    Name, Peer, Reply, SegmentCall, Token,
 };
 use monsoondeal_moves::PostingReply;
 
@@ -103,6 +103,8 @@
     Request(Box<InboundRequest>, oneshot::Sender<Reply>),
     /// The caller disconnected before the reply.
     CallerGone(Token),
+    /// A leaf, given by its name and start, said something about itself in an answer.
+    LeafNotice(Name, u64, LeafNotice),
     /// A call ended; its connection is included if it can be reused.
     CallEnded(CallId, CallOutcome, Option<Connection>),
     Update(Update),
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -27,7 +27,7 @@
     send,
 };
 use crate::front::FrontState;
-use crate::leafs::Connection;
+use crate::leafs::{CallTask, Connection};
 use crate::logs::{RequestLog, millis, outcome};
 use crate::relay::Relay;
 use crate::settings::{GatewaySettings, HeaderNames, StopSettings};
@@ -165,6 +165,8 @@
 struct OpenCall {
     leaf: LeafId,
     inbound: Rc<InboundRequest>,
+    /// Whether any of the call may have been written.
+    is_written: Rc<Cell<bool>>,
     /// Dropping the task closes the connection of the call.
     _task: JoinHandle<()>,
 }
@@ -246,6 +248,9 @@
                 }
                 self.step(|edge, now, out| edge.call_ended(call, outcome, now, out));
             }
+            Event::LeafNotice(leaf, born, notice) => {
+                self.step(|edge, now, out| edge.note_leaf((&leaf, born), notice, now, out));
+            }
             Event::Update(update) => self.on_update(update),
             Event::PostEnded(post, reply) => {
                 logs::move_posted(&post, reply.as_ref());
@@ -402,6 +407,7 @@
             Action::Cancel(call) => {
                 self.calls.remove(&call);
             }
+            Action::Withhold(call) => self.withhold(call),
             Action::Reply(token, reply, summary) => self.reply(token, reply, &summary),
             Action::CloseIdle(leaf) => {
                 self.idle.remove(&leaf);
@@ -413,6 +419,8 @@
             Action::Post(post) => self.post(post),
             Action::FetchOrders => self.fetch_orders(),
             Action::Report(report) => logs::move_counted(&report),
+            Action::LogNotice(taken) => self.request_log.notice(&taken),
+            Action::LogProbe(leaf) => self.request_log.probe(&leaf),
             Action::Log(token, event) => {
                 if let Some(pending) = self.requests.get(&token) {
                     let id = String::from_utf8_lossy(&pending.inbound.id);
@@ -468,21 +476,35 @@
             Some(list.remove(at))
         });
         let inbound = pending.inbound.clone();
-        let task = leafs::run_call(
-            idle,
+        let is_written = Rc::new(Cell::new(false));
+        let task = CallTask {
             call,
-            inbound.clone(),
-            self.names.clone(),
-            self.events.clone(),
-        );
+            inbound: inbound.clone(),
+            names: self.names.clone(),
+            events: self.events.clone(),
+            is_written: is_written.clone(),
+        };
         let open_call = OpenCall {
             leaf,
             inbound,
-            _task: spawn(task),
+            is_written,
+            _task: spawn(leafs::run_call(idle, task)),
         };
         self.calls.insert(id, open_call);
     }
 
+    /// Ends a call as not sent if nothing of it has been written.
+    fn withhold(&mut self, call: CallId) {
+        let is_unwritten = |open_call: &mut OpenCall| !open_call.is_written.get();
+        if self.calls.get_mut(&call).is_some_and(is_unwritten) {
+            self.calls.remove(&call);
+            send(
+                &self.events,
+                Event::CallEnded(call, CallOutcome::Unsent, None),
+            );
+        }
+    }
+
     /// Logs the end of a call that found another leaf at the address.
     fn log_call_end(&mut self, open_call: &OpenCall, outcome: &CallOutcome) {
         let Some(intended) = self.edge.directory().entry(open_call.leaf) else {
--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -8,9 +8,10 @@
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode, Uri};
-use monsoondeal_edge::LeafCall;
+use monsoondeal_edge::{LeafCall, LeafNotice};
 use monsoondeal_node::client::{MAX_ANSWER_BYTES, Sender, read_body};
 
+use crate::notice::leaf_notice;
 use crate::settings::HeaderNames;
 
 /// The timeout of an identity check is the time left for its call divided by this number. A busy leaf queues
@@ -18,12 +19,14 @@
 const CHECK_TIMEOUT_DIVISOR: u32 = 3;
 
 /// Which leaf is at the other end of a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Identity {
-    /// The leaf that the call is intended for.
-    Expected,
+    /// The leaf that the call is intended for, and what it said about itself.
+    Expected(LeafNotice),
     /// Another leaf.
     Other,
+    /// A leaf that did not give its name, but did not refuse the check as another leaf would have done.
+    Unnamed(LeafNotice),
     /// The leaf did not identify itself in time.
     Unknown,
 }
@@ -63,10 +66,14 @@
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
         return Some(Identity::Other);
     }
+    let notice = leaf_notice(parts.status, &parts.headers, names);
     match parts.headers.get(&names.identity) {
-        Some(name) if name.as_bytes() == call.instance.as_bytes() => Some(Identity::Expected),
+        Some(name) if name.as_bytes() == call.instance.as_bytes() => {
+            Some(Identity::Expected(notice))
+        }
         Some(_) => Some(Identity::Other),
         // Without a name the status decides: another leaf would have refused the request.
-        None => parts.status.is_success().then_some(Identity::Expected),
+        None if parts.status.is_success() => Some(Identity::Expected(notice)),
+        None => Some(Identity::Unnamed(notice)),
     }
 }
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -1,5 +1,6 @@
 //! Calls to leafs. Each call has a task of its own; between calls the hub keeps the connections.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -7,12 +8,13 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
-use monsoondeal_edge::{Answer, CallOutcome, LeafCall};
+use monsoondeal_edge::{Answer, CallOutcome, LeafCall, LeafNotice};
 use monsoondeal_node::client::{AnswerError, MAX_ANSWER_BYTES, Sender, handshake, read_body};
 
 use crate::dial;
 use crate::event::{Event, EventSender, InboundRequest, send};
 use crate::identity::{Identity, identify};
+use crate::notice::leaf_notice;
 use crate::segment;
 use crate::settings::HeaderNames;
 
@@ -84,26 +86,44 @@
     headers.remove(CONTENT_LENGTH);
 }
 
+/// `CallTask` is what a call needs besides a connection.
+#[derive(Debug)]
+pub(crate) struct CallTask {
+    pub(crate) call: LeafCall,
+    pub(crate) inbound: Rc<InboundRequest>,
+    pub(crate) names: Rc<HeaderNames>,
+    pub(crate) events: EventSender,
+    /// Whether any of the call may have been written; shared with the hub.
+    pub(crate) is_written: Rc<Cell<bool>>,
+}
+
+impl CallTask {
+    /// Tells the hub what an answer says about the leaf. Nodes that serve segments are not leafs.
+    fn report(&self, notice: LeafNotice) {
+        if notice.is_empty() || self.call.segment.is_some() {
+            return;
+        }
+        let leaf = self.call.instance.clone();
+        send(
+            &self.events,
+            Event::LeafNotice(leaf, self.call.born, notice),
+        );
+    }
+}
+
 /// Runs a call and sends its outcome to the hub.
-pub(crate) async fn run_call(
-    idle: Option<Connection>,
-    call: LeafCall,
-    inbound: Rc<InboundRequest>,
-    names: Rc<HeaderNames>,
-    events: EventSender,
-) {
-    let (connection, outcome) = exchange(idle, &call, &inbound, &names).await;
-    send(&events, Event::CallEnded(call.call, outcome, connection));
+pub(crate) async fn run_call(idle: Option<Connection>, task: CallTask) {
+    let (connection, outcome) = exchange(idle, &task).await;
+    send(
+        &task.events,
+        Event::CallEnded(task.call.call, outcome, connection),
+    );
 }
 
-async fn exchange(
-    idle: Option<Connection>,
-    call: &LeafCall,
-    inbound: &InboundRequest,
-    names: &HeaderNames,
-) -> (Option<Connection>, CallOutcome) {
+async fn exchange(idle: Option<Connection>, task: &CallTask) -> (Option<Connection>, CallOutcome) {
     let started = Instant::now();
-    let Some(mut request) = build_request(call, inbound, names) else {
+    let (call, names) = (&task.call, &task.names);
+    let Some(mut request) = build_request(call, &task.inbound, names) else {
         return (idle, CallOutcome::Unsent);
     };
     let mut is_verified = call.is_verified;
@@ -111,10 +131,14 @@
     if let Some(mut connection) = idle {
         // A closed connection may mean that the leaf has ended since it was last verified.
         is_verified = false;
+        task.is_written.set(true);
         match connection.sender.try_send_request(request).await {
-            Ok(response) => return read_answer(connection.sender, response, inbound, names).await,
+            Ok(response) => return read_answer(connection.sender, response, task).await,
             Err(mut error) => match error.take_message() {
-                Some(unsent) => request = unsent,
+                Some(unsent) => {
+                    task.is_written.set(false);
+                    request = unsent;
+                }
                 None => {
                     return (
                         None,
@@ -124,7 +148,7 @@
             },
         }
     }
-    let mut sender = match open_verified(call, is_verified, names).await {
+    let mut sender = match open_verified(task, is_verified).await {
         Ok(sender) => sender,
         Err(outcome) => return (None, outcome),
     };
@@ -134,9 +158,10 @@
             .headers_mut()
             .insert(names.deadline.clone(), timeout);
     }
+    task.is_written.set(true);
     match sender.try_send_request(request).await {
         Ok(response) => {
-            let (connection, mut outcome) = read_answer(sender, response, inbound, names).await;
+            let (connection, mut outcome) = read_answer(sender, response, task).await;
             if let CallOutcome::Answer(answer) = &mut outcome {
                 answer.setup_micros = u32::try_from(setup.as_micros()).unwrap_or(u32::MAX);
             }
@@ -154,18 +179,23 @@
 
 /// Opens a connection to the leaf that a call is intended for. Unless `is_verified`, the leaf's identity is
 /// checked first, where its service has a check path.
-async fn open_verified(
-    call: &LeafCall,
-    is_verified: bool,
-    names: &HeaderNames,
-) -> Result<Sender, CallOutcome> {
+async fn open_verified(task: &CallTask, is_verified: bool) -> Result<Sender, CallOutcome> {
+    let call = &task.call;
     let mut sender = open(call).await.ok_or(CallOutcome::Unsent)?;
     let path = match &call.check_path {
         Some(path) if !is_verified => path,
         _ => return Ok(sender),
     };
-    match identify(&mut sender, call, path, names).await {
-        Identity::Expected => {}
+    match identify(&mut sender, call, path, &task.names).await {
+        Identity::Expected(notice) if notice.is_empty() => {}
+        Identity::Expected(notice) => {
+            task.report(notice);
+            return Err(CallOutcome::Unsent);
+        }
+        Identity::Unnamed(notice) => {
+            task.report(notice);
+            return Err(CallOutcome::Unchecked);
+        }
         Identity::Other => return Err(CallOutcome::Displaced),
         Identity::Unknown => return Err(CallOutcome::Unchecked),
     }
@@ -226,17 +256,20 @@
 async fn read_answer(
     sender: Sender,
     response: Response<hyper::body::Incoming>,
-    inbound: &InboundRequest,
-    names: &HeaderNames,
+    task: &CallTask,
 ) -> (Option<Connection>, CallOutcome) {
+    let names = &task.names;
     let (parts, body) = response.into_parts();
     let (status, headers) = (parts.status, parts.headers);
+    if is_from_leaf(status, &headers, task) {
+        task.report(leaf_notice(status, &headers, names));
+    }
     let body = match read_body(body, MAX_ANSWER_BYTES).await {
         Ok(body) => body,
         Err(error) => return (None, failure_outcome(&error)),
     };
     let echo = headers.get(&names.request_id);
-    if echo.is_some_and(|echo| echo.as_bytes() != inbound.id.as_ref()) {
+    if echo.is_some_and(|echo| echo.as_bytes() != task.inbound.id.as_ref()) {
         log::warn!("a leaf answered with the identity of another request");
         return (None, CallOutcome::Broken);
     }
@@ -274,6 +307,19 @@
     (connection, CallOutcome::Answer(answer))
 }
 
+/// Returns whether an answer belongs to the call and comes from the intended leaf. Some answers do not repeat the
+/// identity of the request; they must bear another mark of a leaf.
+fn is_from_leaf(status: StatusCode, headers: &HeaderMap, task: &CallTask) -> bool {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return false;
+    }
+    let names = &task.names;
+    match headers.get(&names.request_id) {
+        Some(echo) => echo.as_bytes() == task.inbound.id.as_ref(),
+        None => headers.contains_key(&names.signature) || headers.contains_key(&names.not_run),
+    }
+}
+
 /// Returns the outcome of a call whose answer did not arrive completely.
 fn failure_outcome(error: &AnswerError) -> CallOutcome {
     match error {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod identity;
 mod leafs;
 mod logs;
+mod notice;
 mod relay;
 mod segment;
 mod settings;
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use monsoondeal_edge::{
-    LeafEntry, MoveDecision, MovePost, MoveReport, Reply, RequestEvent, Summary,
+    LeafEntry, MoveDecision, MovePost, MoveReport, NoticeTaken, Reply, RequestEvent, Summary,
 };
 use monsoondeal_moves::{Evidence, PostingReply, RequestCounts};
 
@@ -123,6 +123,26 @@
             "another leaf has the address"
         );
     }
+
+    /// Logs what a leaf said about itself, and how long it gets no calls; -1 if it gets none until it starts again.
+    pub(crate) fn notice(&mut self, taken: &NoticeTaken) {
+        if !self.admit() {
+            return;
+        }
+        let said = &taken.notice;
+        log::info!(
+            leaf:% = taken.leaf, born = taken.born, leaving = said.leaving,
+            asked_ms = millis(said.pause), no_calls_ms = millis(taken.no_calls_for);
+            "leaf wants no calls"
+        );
+    }
+
+    /// Logs that a leaf gets a single call during a break that is too long to be meant.
+    pub(crate) fn probe(&mut self, leaf: &str) {
+        if self.admit() {
+            log::info!(leaf; "leaf called once during its break");
+        }
+    }
 }
 
 /// Returns a duration in milliseconds, or -1 for none.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,6 +21,8 @@
     pub identity: HeaderName,
     /// Set by a leaf that did not run a call.
     pub not_run: HeaderName,
+    /// Set to `1` by a leaf that is leaving.
+    pub leaving: HeaderName,
     /// Signatures of the parts of a merged response.
     pub parts: HeaderName,
     /// Number of shards that a merged response leaves out.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -116,6 +116,7 @@
         instance: HeaderName::from_static("x-instance"),
         identity: HeaderName::from_static("x-leaf"),
         not_run: HeaderName::from_static("x-not-run"),
+        leaving: HeaderName::from_static("x-leaving"),
         parts: HeaderName::from_static("x-parts"),
         missing: HeaderName::from_static("x-missing"),
     }
