--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -48,11 +48,13 @@
     StoreReachable(bool),
 }
 
-/// `ReaderMode` is whether the node reads its updates from the store.
+/// `ReaderMode` is how the node uses the store for its updates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReaderMode {
     /// The store is not read: another node sends the updates.
     Off,
+    /// The store is not read, but asked for signs of life, which are reported as [`Update::StoreReachable`].
+    Probe,
     /// All updates are read, and each answer of the store is reported as [`Update::StoreReachable`].
     On,
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -297,6 +297,10 @@
                 self.mirror.clear();
                 self.set_reader_mode(ReaderMode::On);
             }
+            SourceAction::StartProbing => {
+                log::info!("waiting for the store or a node to follow");
+                self.set_reader_mode(ReaderMode::Probe);
+            }
             SourceAction::StopReading => {
                 log::info!("leaving the store to the node that is followed");
                 self.drop_followers("this node follows another one");
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -196,6 +196,11 @@
                 loop {
                     while let Ok(mode) = mode_inbox.try_recv() {
                         recorded.lock().expect("no panic while locked").push(mode);
+                        if mode == ReaderMode::Probe {
+                            // The store of these tests answers.
+                            let answer = Update::StoreReachable(true);
+                            updates.unbounded_send(answer).expect("an open inbox");
+                        }
                     }
                     for update in factories.try_iter().flat_map(|factory| factory()) {
                         updates.unbounded_send(update).expect("an open inbox");
--- a/crates/member/src/source.rs
+++ b/crates/member/src/source.rs
@@ -5,6 +5,10 @@
 //! silent tries the next one, and reads the store itself when none is left, so that the configuration in
 //! force at a node does not depend on any other node for longer than a second or two. A reader that
 //! cannot reach the store follows readers of other domains until it can.
+//!
+//! When the store is lost to all, all readers drop their followers at once. So a node without a source first
+//! probes the store, which costs little, and reads it only if it answers. If the store answers only after a
+//! while, the readers have just regained it too, and the node gives them time to serve it again.
 
 use std::collections::BTreeMap;
 use std::collections::hash_map::DefaultHasher;
@@ -14,10 +18,13 @@
 
 use monsoondeal_core::Time;
 
-/// Number of nodes in a failure domain below which each of them reads the store itself.
+/// Number of nodes in a failure domain from which on several of them read the store for the others.
 const MIN_SHARED_DOMAIN: usize = 6;
-/// Fewest readers of the store in a domain where other nodes follow them.
+/// Fewest readers of the store in such a domain.
 const MIN_READERS: usize = 2;
+/// Number of nodes in the fleet from which on one node reads the store for a smaller domain. In a smaller fleet each
+/// node of such a domain reads it.
+const MIN_SHARED_FLEET: usize = 12;
 /// Nodes of a domain for each reader of the store.
 const NODES_PER_READER: usize = 32;
 /// Readers among the sources of a node.
@@ -30,6 +37,10 @@
 const SOURCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How long a node without a source reads the store before it tries its sources again.
 const SOURCE_RETRY_INTERVAL: Duration = Duration::from_secs(5);
+/// How long a node gives its sources to serve it again once a store that was lost answers.
+const RELIEF_TIME: Duration = Duration::from_millis(1_500);
+/// Time between two attempts at the sources meanwhile.
+const RELIEF_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Readers that a node tries while it cannot reach the store.
 const MAX_FALLBACKS: usize = 3;
 /// Time between two such attempts.
@@ -83,38 +94,56 @@
         let rank = nodes.iter().position(|node| node.name == own)?;
         Some((nodes, rank))
     });
-    let sources = ranked.map_or_else(Vec::new, |(nodes, rank)| follower_sources(own, nodes, rank));
+    let fleet_size = domains.values().map(Vec::len).sum();
     let mut others: Vec<FleetNode<'a>> = domains
         .values()
-        .flat_map(|nodes| &nodes[..reader_count(nodes.len())])
+        .flat_map(|nodes| &nodes[..reader_count(nodes.len(), fleet_size)])
         .filter(|node| node.name != own)
         .copied()
         .collect();
     others.sort_by_key(|node| digest((own, node.name)));
-    StoreRole {
-        sources,
-        fallbacks: others
-            .iter()
-            .take(MAX_FALLBACKS)
-            .map(|node| node.addr)
-            .collect(),
+    let fallbacks: Vec<SocketAddr> = others
+        .iter()
+        .take(MAX_FALLBACKS)
+        .map(|node| node.addr)
+        .collect();
+    let mut sources = ranked.map_or_else(Vec::new, |(nodes, rank)| {
+        let readers = reader_count(nodes.len(), fleet_size);
+        follower_sources(own, nodes, rank, readers)
+    });
+    // The only reader of a small domain has no substitute there.
+    if sources.len() == 1 {
+        let substitutes = fallbacks.iter().filter(|addr| **addr != sources[0]);
+        let substitutes: Vec<SocketAddr> = substitutes.copied().take(READER_SOURCES).collect();
+        sources.extend(substitutes);
     }
+    StoreRole { sources, fallbacks }
 }
 
-/// Returns the number of readers in a domain of `nodes` nodes.
-fn reader_count(nodes: usize) -> usize {
-    if nodes < MIN_SHARED_DOMAIN {
-        return nodes;
+/// Returns the number of readers in a domain of `nodes` nodes, in a fleet of `fleet_size`.
+fn reader_count(nodes: usize, fleet_size: usize) -> usize {
+    if nodes >= MIN_SHARED_DOMAIN {
+        nodes.div_ceil(NODES_PER_READER).max(MIN_READERS)
+    } else if fleet_size >= MIN_SHARED_FLEET {
+        1
+    } else {
+        nodes
     }
-    nodes.div_ceil(NODES_PER_READER).max(MIN_READERS)
 }
 
-/// Returns the sources of the node at `rank` in its domain; none if it is a reader.
-fn follower_sources(own: &str, ranked: &[FleetNode<'_>], rank: usize) -> Vec<SocketAddr> {
-    let count = reader_count(ranked.len());
+/// Returns the sources of the node at `rank` in its domain, which has `count` readers; none if it is one of them.
+fn follower_sources(
+    own: &str,
+    ranked: &[FleetNode<'_>],
+    rank: usize,
+    count: usize,
+) -> Vec<SocketAddr> {
     if rank < count {
         return Vec::new();
     }
+    if count == 1 {
+        return vec![ranked[0].addr];
+    }
     let mut readers = ranked[..count].to_vec();
     readers.sort_by_key(|reader| digest((own, reader.name)));
     let followers = ranked[count..rank].iter().take(FOLLOWER_SOURCES);
@@ -134,9 +163,11 @@
 /// `SourceAction` is an action that the node has to carry out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SourceAction {
-    /// Start to read the store.
+    /// Start to read the store, instead of probing it.
     StartReading,
-    /// Stop reading the store.
+    /// Ask the store for signs of life, and report them by [`SourceSelector::set_store_reachable`].
+    StartProbing,
+    /// Stop reading or probing the store.
     StopReading,
     /// Follow the node at an address, instead of any other.
     Connect(SocketAddr),
@@ -155,13 +186,26 @@
     Following { index: usize, heard: Time },
 }
 
+/// How a node uses the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StoreUse {
+    /// The node leaves the store to its source.
+    None,
+    /// The node has no source of its own and waits for the store to answer.
+    Probing,
+    /// A store that was lost answers. The node reads it from this time on unless a source serves it before.
+    Relief(Time),
+    /// The node reads the store.
+    Reading,
+}
+
 /// `SourceSelector` decides whether a node reads the store or follows another node.
 #[derive(Debug)]
 pub struct SourceSelector {
     role: Option<StoreRole>,
     state: State,
-    is_reading: bool,
-    /// Whether the node has to read the store but cannot reach it. Set only while `is_reading` is.
+    store_use: StoreUse,
+    /// Whether the node needs the store but cannot reach it. Set only while it probes or reads the store.
     is_cut_off: bool,
 }
 
@@ -170,7 +214,7 @@
         Self {
             role: None,
             state: State::NoSource(Time::MAX),
-            is_reading: false,
+            store_use: StoreUse::None,
             is_cut_off: false,
         }
     }
@@ -179,7 +223,7 @@
 impl SourceSelector {
     /// Returns whether the node has to read the store.
     pub fn is_reading(&self) -> bool {
-        self.is_reading
+        self.store_use == StoreUse::Reading
     }
 
     /// Returns whether the node follows another one, so that its own reads of the store must not be used.
@@ -193,7 +237,11 @@
             return;
         }
         let current_source = self.current_source();
+        let is_reader = role.is_reader();
         self.role = Some(role);
+        if is_reader && matches!(self.store_use, StoreUse::Probing | StoreUse::Relief(_)) {
+            self.start_reading(out);
+        }
         let nodes = self.candidates();
         let is_empty = nodes.is_empty();
         let kept = current_source.and_then(|addr| nodes.iter().position(|node| *node == addr));
@@ -206,7 +254,7 @@
         }
     }
 
-    /// Handles that the store is or is not reachable. Has no effect while the node does not read the store.
+    /// Handles that the store is or is not reachable. Has no effect while the node leaves the store to its source.
     ///
     /// Load pattern: a node that is cut off from the store goes on serving. With a stale configuration it
     /// calls leafs that are gone, and other nodes refuse to serve segments of its queries.
@@ -216,15 +264,22 @@
         now: Time,
         out: &mut Vec<SourceAction>,
     ) {
-        if !self.is_reading || is_reachable != self.is_cut_off {
+        if self.store_use == StoreUse::None {
             return;
         }
+        let has_changed = is_reachable == self.is_cut_off;
         self.is_cut_off = !is_reachable;
-        if self.is_cut_off {
-            self.connect_to(0, now, out);
-            return;
+        match (self.store_use, has_changed) {
+            // The store answers the first probe: only the sources are lost.
+            (StoreUse::Probing, false) if is_reachable => self.start_reading(out),
+            (_, false) => {}
+            (_, true) if !is_reachable => self.connect_to(0, now, out),
+            (StoreUse::Reading, true) => self.stop_following(now, out),
+            (_, true) => {
+                self.store_use = StoreUse::Relief(now + RELIEF_TIME);
+                self.connect_to(0, now, out);
+            }
         }
-        self.stop_following(now, out);
     }
 
     /// Handles a message of the source.
@@ -233,8 +288,8 @@
             return;
         };
         self.state = State::Following { index, heard: now };
-        if self.is_reading && !self.is_cut_off {
-            self.is_reading = false;
+        if self.store_use != StoreUse::None && !self.is_cut_off {
+            self.store_use = StoreUse::None;
             out.push(SourceAction::StopReading);
         }
     }
@@ -280,12 +335,11 @@
 
     /// Returns when a node without a source tries the candidates again.
     fn next_retry(&self, now: Time) -> Time {
-        if self.is_cut_off {
-            now + FALLBACK_RETRY_INTERVAL
-        } else if self.candidates().is_empty() {
-            Time::MAX
-        } else {
-            now + SOURCE_RETRY_INTERVAL
+        match self.store_use {
+            _ if self.is_cut_off => now + FALLBACK_RETRY_INTERVAL,
+            _ if self.candidates().is_empty() => Time::MAX,
+            StoreUse::Relief(_) => now + RELIEF_RETRY_INTERVAL,
+            _ => now + SOURCE_RETRY_INTERVAL,
         }
     }
 
@@ -314,7 +368,7 @@
     /// Restarts reading if the node reads the store and followed a source. Changes that were read meanwhile
     /// were not used and are not delivered again, so everything must be read anew.
     fn leave_source(&mut self, out: &mut Vec<SourceAction>) {
-        if self.is_following() && self.is_reading {
+        if self.is_following() && self.is_reading() {
             out.push(SourceAction::StopReading);
             out.push(SourceAction::StartReading);
         }
@@ -322,11 +376,22 @@
 
     fn stop_following(&mut self, now: Time, out: &mut Vec<SourceAction>) {
         self.leave_source(out);
-        self.state = State::NoSource(self.next_retry(now));
         out.push(SourceAction::Disconnect);
-        if !self.is_reading {
-            self.is_reading = true;
-            out.push(SourceAction::StartReading);
+        let is_reader = self.role.as_ref().is_some_and(StoreRole::is_reader);
+        match self.store_use {
+            StoreUse::None if is_reader => self.start_reading(out),
+            StoreUse::None => {
+                self.store_use = StoreUse::Probing;
+                out.push(SourceAction::StartProbing);
+            }
+            StoreUse::Relief(until) if !self.is_cut_off && now >= until => self.start_reading(out),
+            StoreUse::Probing | StoreUse::Relief(_) | StoreUse::Reading => {}
         }
+        self.state = State::NoSource(self.next_retry(now));
+    }
+
+    fn start_reading(&mut self, out: &mut Vec<SourceAction>) {
+        self.store_use = StoreUse::Reading;
+        out.push(SourceAction::StartReading);
     }
 }
