--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -158,6 +158,15 @@
         self.shards.contains(service)
     }
 
+    /// Returns the shards of each route that has any, in no particular order.
+    pub fn fan_outs(&self) -> impl Iterator<Item = &[Name]> {
+        let routes = self.routes.values().flat_map(HashMap::values);
+        routes.filter_map(|route| match &route.target {
+            Target::FanOut(shards, _) => Some(shards.as_slice()),
+            Target::Service(_) | Target::Split(_) => None,
+        })
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(HashMap::len).sum()
--- a/crates/edge/src/edge/arrival.rs
+++ b/crates/edge/src/edge/arrival.rs
@@ -13,18 +13,15 @@
 use crate::config::{Name, Route, Target};
 use crate::request::{BUSY_RETRY_AFTER, NO_LEAF_RETRY_AFTER, PendingRequest, min_shards};
 use crate::response_tracker::ResponseTracker;
-use crate::segment::{SegmentCall, is_segment, segment_name, segment_range, shards_digest};
+use crate::segment::{
+    CALL_CPU_TIME, MIN_CORES, SEGMENT_ROUND_TRIP, SegmentCall, is_segment, saves_time,
+    segment_name, segment_range, shards_digest,
+};
 
 /// Maximum expected wait for a leaf, as a share of the objective.
 pub(super) const QUEUE_SHARE: f64 = 0.5;
 /// Processor time reserved for merging the answers of segments and writing the response.
 const MERGE_CPU_TIME: Duration = Duration::from_micros(600);
-/// Processor time reserved for sending the call for a segment and reading its answer.
-const SEGMENT_CPU_TIME: Duration = Duration::from_micros(150);
-/// Time reserved for the round trip to a node that serves a segment.
-const SEGMENT_ROUND_TRIP: Duration = Duration::from_millis(6);
-/// Minimum processor share that this node is assumed to have, in cores.
-const MIN_CORES: f64 = 0.05;
 /// `retry_after` while no configuration is known, or for a segment that does not match the configuration.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -170,10 +167,12 @@
         })
     }
 
-    /// Returns whether the leafs of a query's shards accept fewer connections than there are nodes.
-    fn needs_segments(&self, shards: &[Name]) -> bool {
+    /// Returns whether a query is split into segments: its leafs accept fewer connections than there are nodes, or
+    /// one node would take too long for all calls.
+    pub(super) fn needs_segments(&self, shards: &[Name]) -> bool {
         let first = shards.first().and_then(|shard| self.service_spec(shard));
-        first.is_some_and(|spec| spec.connections < self.peers.len())
+        let is_short = first.is_some_and(|spec| spec.connections < self.peers.len());
+        is_short || saves_time(shards.len(), self.segment_size, &self.peers)
     }
 
     /// Applies the caller's connection set-up, and the segments of a query, to the times and calls of a
@@ -197,8 +196,7 @@
             let segments = targets.services.len() as u32;
             request.answer_by =
                 (request.answer_by - self.wall_time(MERGE_CPU_TIME)).max(request.received_at);
-            request.reply_reserve =
-                SEGMENT_ROUND_TRIP + self.wall_time(SEGMENT_CPU_TIME * segments);
+            request.reply_reserve = SEGMENT_ROUND_TRIP + self.wall_time(CALL_CPU_TIME * segments);
         }
         request.digest = targets.digest;
         request.tracker_key = targets.tracker_key(&request.route);
--- a/crates/edge/src/edge/dispatch.rs
+++ b/crates/edge/src/edge/dispatch.rs
@@ -59,10 +59,11 @@
     /// a shard belongs to.
     pub(super) fn caller_count(&self, service: &str) -> usize {
         let is_shard = |config: &Rc<Config>| config.is_shard(service);
-        let connections = self.service_spec(service).map(|spec| spec.connections);
-        let is_short = connections.is_some_and(|all| all < self.peers.len());
-        if is_short && self.config.as_ref().is_some_and(is_shard) {
-            return callers_per_leaf();
+        let is_segmented = self.has_segments
+            && !self.direct_shards.contains(service)
+            && self.config.as_ref().is_some_and(is_shard);
+        if is_segmented {
+            return callers_per_leaf().min(self.shares.nodes());
         }
         self.shares.nodes()
     }
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -7,7 +7,7 @@
 mod updates;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -166,6 +166,10 @@
     peers: Vec<Peer>,
     /// Maximum number of shards per segment.
     segment_size: usize,
+    /// Whether queries of some route are split into segments.
+    has_segments: bool,
+    /// Shards of routes whose queries are not split, if those of other routes are.
+    direct_shards: HashSet<Name>,
     directory: Directory,
     selector: LeafSelector,
     shares: Shares,
@@ -203,6 +207,8 @@
             domains_listed: false,
             peers: Vec::new(),
             segment_size: segment_size(&[]),
+            has_segments: false,
+            direct_shards: HashSet::new(),
             directory: Directory::default(),
             selector: LeafSelector::default(),
             shares,
--- a/crates/edge/src/edge/updates.rs
+++ b/crates/edge/src/edge/updates.rs
@@ -29,9 +29,26 @@
             return false;
         }
         self.config = Some(config);
+        self.update_segmented_routes();
         true
     }
 
+    /// Determines which routes' queries are split into segments.
+    fn update_segmented_routes(&mut self) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let (split, direct): (Vec<&[Name]>, Vec<&[Name]>) = config
+            .fan_outs()
+            .partition(|shards| self.needs_segments(shards));
+        self.has_segments = !split.is_empty();
+        self.direct_shards.clear();
+        if self.has_segments {
+            let shards = direct.into_iter().flatten().cloned();
+            self.direct_shards.extend(shards);
+        }
+    }
+
     /// Replaces the settings; the number of nodes stays.
     pub fn set_settings(&mut self, settings: EdgeSettings) {
         self.shares
@@ -48,6 +65,7 @@
         }
         self.segment_size = segment_size(&peers);
         self.peers = peers;
+        self.update_segmented_routes();
         for id in self.directory.drop_peers() {
             self.drop_leaf(id, out);
         }
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -1,6 +1,6 @@
 //! Segments of a query, served by nodes that each hold the connections to some of the shards.
 //!
-//! Load pattern: there are more nodes than a leaf accepts connections, and queries have so many shards that
+//! Load pattern: there are more nodes than a leaf accepts connections, or queries have so many shards that
 //! one node takes too long to send all calls. The shards of a query are cut into segments. A few nodes
 //! serve each segment, the same ones for all nodes that ask, chosen by rendezvous hashing over the listed
 //! nodes.
@@ -28,6 +28,14 @@
 /// Exponent of a node's processor share in its weight. The time to serve a segment falls with the share, so
 /// small nodes should serve segments only where there are few larger ones.
 const CORES_EXPONENT: i32 = 3;
+/// Processor time for sending a call and reading its answer.
+pub(crate) const CALL_CPU_TIME: Duration = Duration::from_micros(150);
+/// Time reserved for the round trip to a node that serves a segment.
+pub(crate) const SEGMENT_ROUND_TRIP: Duration = Duration::from_millis(6);
+/// Minimum processor share that a node is assumed to have, in cores.
+pub(crate) const MIN_CORES: f64 = 0.05;
+/// Time that segments must save a query to be worth their messages.
+const MIN_SEGMENT_GAIN: Duration = Duration::from_millis(25);
 /// Prefix of the names of segments, which are used in place of service names. No service's name begins with
 /// it.
 const PREFIX: char = '\u{1}';
@@ -84,6 +92,30 @@
     (shards as usize).clamp(MIN_SHARDS, MAX_SHARDS)
 }
 
+/// Returns whether a query over `shards` shards is answered so much sooner in segments of `size` shards that their
+/// messages are worth it.
+///
+/// Load pattern: few small nodes and queries with many shards. One node takes longer to send and read all calls than
+/// the leafs take to answer them. All nodes that know the same nodes decide alike.
+pub(crate) fn saves_time(shards: usize, size: usize, peers: &[Peer]) -> bool {
+    let mut cores: Vec<f64> = peers.iter().map(|peer| peer.cores).collect();
+    cores.sort_by(f64::total_cmp);
+    let Some(&asking) = cores.get(cores.len() / 4) else {
+        return false;
+    };
+    let serving = cores[cores.len().saturating_sub(SEGMENT_NODES)];
+    let segments = shards.div_ceil(size);
+    let rounds = segments.div_ceil(peers.len());
+    let work = |calls: usize, cores: f64| {
+        CALL_CPU_TIME
+            .mul_f64(calls as f64)
+            .div_f64(cores.clamp(MIN_CORES, 1.0))
+    };
+    let direct = work(shards, asking);
+    let split = work(segments, asking) + work(size * rounds, serving) + SEGMENT_ROUND_TRIP;
+    direct > split + MIN_SEGMENT_GAIN
+}
+
 /// Returns the range of a segment's shards. Sizes of segments differ by one shard at most.
 pub(crate) fn segment_range(index: usize, count: usize, shards: usize) -> Range<usize> {
     index * shards / count..(index + 1) * shards / count
--- a/crates/edge/tests/segments.rs
+++ b/crates/edge/tests/segments.rs
@@ -72,6 +72,37 @@
     assert_eq!(node.calls.len() < SHARDS, split);
 }
 
+/// Queries of few small nodes are split if one node takes much longer for all calls than for its part of them.
+#[rstest]
+#[case::small_nodes_many_shards(18, 0.12, 180, true)]
+#[case::small_nodes_few_shards(18, 0.12, 30, false)]
+#[case::six_quarter_cores(6, 0.25, 30, false)]
+#[case::many_shards(9, 0.25, 135, true)]
+#[case::whole_cores(18, 1.0, 135, false)]
+#[case::two_nodes(2, 0.12, 30, false)]
+fn segments_by_time_of_a_query(
+    #[case] nodes: usize,
+    #[case] cores: f64,
+    #[case] shards: usize,
+    #[case] split: bool,
+) {
+    let leafs: Vec<LeafEntry> = (0..shards)
+        .map(|index| leaf(&format!("leaf-{index}"), &shard(index)))
+        .collect();
+    let route = fan_out_route("q", shards, 0.9);
+    let mut node = Node::new(config(1, vec![route], 175), leafs);
+    let mut fleet = peers(nodes);
+    fleet.iter_mut().for_each(|peer| peer.cores = cores);
+    node.apply(|edge, _, out| edge.set_peers(fleet, out));
+    node.request("q");
+    assert!(!node.calls.is_empty());
+    assert!(
+        node.calls
+            .iter()
+            .all(|call| call.segment.is_some() == split)
+    );
+}
+
 /// Each shard belongs to exactly one segment, which the same few nodes serve for all queries.
 #[test]
 fn segments_cover_each_shard_once() {
