--- a/crates/edge/src/shares.rs
+++ b/crates/edge/src/shares.rs
@@ -16,6 +16,8 @@
 /// Part of the slack that all nodes together are granted when they start. The slack beyond this part and
 /// [`RESERVE_PART`] covers nodes that are counted late, and further starts.
 const INITIAL_PART: f64 = 0.25;
+/// Part of the reserve that hedges leave for retries.
+const RETRY_PART: f64 = 0.35;
 /// How long a service without requests keeps its budget: well above the span to which the bound applies.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 /// How long a service counts as used after a request for it.
@@ -88,6 +90,15 @@
         self.budget(service, callers, now).try_spend()
     }
 
+    /// Like [`Shares::try_repeat`], for a hedge: some repeats are left for retries.
+    ///
+    /// Load pattern: some leafs turn slow and others fail part of their calls. A hedge makes an answer come
+    /// sooner, but a shard whose call failed is lost without a retry.
+    pub fn try_hedge(&mut self, service: &Name, callers: usize, now: Time) -> bool {
+        let budget = self.budget(service, callers, now);
+        budget.try_spend_above(RETRY_PART)
+    }
+
     /// Removes the budgets of services that have been idle for long.
     fn sweep(&mut self, now: Time) {
         if now < self.sweep_at {
--- a/crates/limit/src/budget.rs
+++ b/crates/limit/src/budget.rs
@@ -47,7 +47,13 @@
 
     /// Attempts to take the token for one extra call.
     pub fn try_spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
+        self.try_spend_above(0.0)
+    }
+
+    /// Attempts to take the token for one extra call, and leaves at least this part of the reserve, from 0 to 1, to
+    /// others.
+    pub fn try_spend_above(&mut self, part: f64) -> bool {
+        if self.tokens - part * self.reserve < 1.0 {
             return false;
         }
         self.tokens -= 1.0;
