--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -24,6 +24,10 @@
 /// Quantile over the shards that measures the load. A few slow leafs stay above it and do not count; shards
 /// that have lost some of their leafs do count.
 const LOAD_QUANTILE: f64 = 0.75;
+/// Multiple of the objective after which a request to a single leaf is given up: far beyond the time of a slow leaf.
+const GIVE_UP_OBJECTIVES: u32 = 3;
+/// Multiple of the objective that must be left to the caller then.
+const RETRY_OBJECTIVES: u32 = 2;
 /// `retry_after` while no leaf can be called.
 pub(crate) const NO_LEAF_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// `retry_after` while all leafs are busy.
@@ -193,7 +197,30 @@
             Some(gather) => self.merged_reply(gather, now),
             None => self.single_reply(now),
         };
-        reply.or_else(|| (now >= self.deadline).then_some(Reply::TimedOut))
+        reply
+            .or_else(|| self.give_up_reply(now))
+            .or_else(|| (now >= self.deadline).then_some(Reply::TimedOut))
+    }
+
+    /// Returns when a request to a single leaf is given up, if its caller has time left then to try again.
+    ///
+    /// Load pattern: a leaf falls silent with a call, and the request's attempts are used up. No other leaf may
+    /// be called for it, but its caller may send it anew.
+    fn give_up_at(&self) -> Option<Time> {
+        if !self.is_idempotent() || self.gather().is_some() {
+            return None;
+        }
+        let at = self.received_at + self.route.objective * GIVE_UP_OBJECTIVES;
+        let left = self.deadline.since(at);
+        (left >= self.route.objective * RETRY_OBJECTIVES).then_some(at)
+    }
+
+    fn give_up_reply(&self, now: Time) -> Option<Reply> {
+        self.give_up_at().filter(|at| *at <= now)?;
+        if self.shards.iter().any(|shard| shard.possible_runs > 0) {
+            return Some(Reply::TimedOut);
+        }
+        Some(self.failure_reply("no leaf was free in time", now))
     }
 
     /// Returns the first shard of a query: the key under which admission counts queries for the same
@@ -238,6 +265,9 @@
         if self.gather().is_some() && self.answer_by > now {
             next = next.min(self.answer_by);
         }
+        if let Some(at) = self.give_up_at() {
+            next = next.min(at);
+        }
         let open = self.shards.iter().filter(|shard| shard.is_open());
         open.map(|shard| shard.check_at).fold(next, Time::min)
     }
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -350,3 +350,32 @@
     assert!(*retry_after > Duration::from_millis(100));
     assert!(node.reply(tokens[1]).is_none());
 }
+
+/// A leaf falls silent with the only call that a request may make. An idempotent request ends while its caller has time
+/// to send it anew; an order, which may not be repeated, ends at its deadline.
+#[rstest]
+#[case::idempotent(Repeat::Idempotent, 8_000, 2_400)]
+#[case::no_time_for_another_attempt(Repeat::Idempotent, 3_000, 3_000)]
+#[case::order(Repeat::AtMostOnce, 8_000, 8_000)]
+fn single_leaf_falls_silent(#[case] repeat: Repeat, #[case] timeout: u64, #[case] end: u64) {
+    let mut route = service_route("r", "s", repeat);
+    route.attempts = 1;
+    let mut node = Node::new(config(1, vec![route], 6), two_leafs());
+    let token = node.request_with_timeout("r", Duration::from_millis(timeout));
+    node.run_for(Duration::from_millis(end - 10));
+    assert_eq!(node.reply(token), None);
+    node.run_for(Duration::from_millis(20));
+    assert_eq!(node.reply(token), Some(&Reply::TimedOut));
+}
+
+/// No leaf is free for a request until its caller should try elsewhere: it is rejected as not run.
+#[test]
+fn single_waits_for_a_leaf_in_vain() {
+    let route = service_route("r", "s", Repeat::Idempotent);
+    let mut node = Node::new(config(1, vec![route], 1), vec![leaf("one", "s")]);
+    let first = node.request("r");
+    let second = node.request("r");
+    node.run_for(Duration::from_millis(2_500));
+    assert_eq!(node.reply(first), Some(&Reply::TimedOut));
+    assert!(matches!(node.reply(second), Some(Reply::Rejected { .. })));
+}
--- a/crates/limit/src/budget.rs
+++ b/crates/limit/src/budget.rs
@@ -40,6 +40,11 @@
         self.tokens = self.tokens.min(reserve);
     }
 
+    /// Returns whether the reserve is full.
+    pub fn is_full(&self) -> bool {
+        self.tokens >= self.reserve
+    }
+
     /// Adds the tokens earned by a number of regular calls.
     pub fn earn(&mut self, calls: usize) {
         self.tokens = (self.tokens + self.ratio * calls as f64).min(self.reserve);
@@ -47,13 +52,7 @@
 
     /// Attempts to take the token for one extra call.
     pub fn try_spend(&mut self) -> bool {
-        self.try_spend_above(0.0)
-    }
-
-    /// Attempts to take the token for one extra call, and leaves at least this part of the reserve, from 0 to 1, to
-    /// others.
-    pub fn try_spend_above(&mut self, part: f64) -> bool {
-        if self.tokens - part * self.reserve < 1.0 {
+        if self.tokens < 1.0 {
             return false;
         }
         self.tokens -= 1.0;
