--- a/crates/edge/src/edge/call_outcome.rs
+++ b/crates/edge/src/edge/call_outcome.rs
@@ -198,17 +198,6 @@
     pub(super) fn try_repeat(&mut self, service: &Name, now: Time) -> bool {
         let callers = self.caller_count(service);
         let is_allowed = self.shares.try_repeat(service, callers, now);
-        self.count_repeat(is_allowed)
-    }
-
-    /// Takes a hedge of a call to a service from the budget. Returns whether there was one.
-    pub(super) fn try_hedge(&mut self, service: &Name, now: Time) -> bool {
-        let callers = self.caller_count(service);
-        let is_allowed = self.shares.try_hedge(service, callers, now);
-        self.count_repeat(is_allowed)
-    }
-
-    fn count_repeat(&mut self, is_allowed: bool) -> bool {
         if is_allowed {
             self.counts.repeats += 1;
         } else {
--- a/crates/edge/src/edge/timers.rs
+++ b/crates/edge/src/edge/timers.rs
@@ -107,7 +107,7 @@
         let Some(leaf) = self.pick(&healthy, &service, now) else {
             return;
         };
-        if !self.try_hedge(&service, now) {
+        if !self.try_repeat(&service, now) {
             return;
         }
         if let Some(request) = self.pending.get_mut(&token) {
--- a/crates/edge/src/shares.rs
+++ b/crates/edge/src/shares.rs
@@ -16,8 +16,6 @@
 /// Part of the slack that all nodes together are granted when they start. The slack beyond this part and
 /// [`RESERVE_PART`] covers nodes that are counted late, and further starts.
 const INITIAL_PART: f64 = 0.25;
-/// Part of the reserve that is set aside for retries, if that leaves whole repeats to both kinds.
-const RETRY_PART: f64 = 0.5;
 /// How long a service without requests keeps its budget: well above the span to which the bound applies.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 /// How long a service counts as used after a request for it.
@@ -36,7 +34,7 @@
     /// Repeats of a service allowed beyond the ratio, for all nodes together.
     slack: f64,
     /// Repeat budgets of services, with the time of the latest request or repeat.
-    budgets: HashMap<Name, (RepeatBudget, Time)>,
+    budgets: HashMap<Name, (Budget, Time)>,
     /// When idle budgets are removed next.
     sweep_at: Time,
 }
@@ -82,17 +80,12 @@
     /// Counts a request for a service that `callers` nodes call.
     pub fn count_request(&mut self, service: &Name, callers: usize, now: Time) {
         self.sweep(now);
-        self.budget(service, callers, now).earn();
+        self.budget(service, callers, now).earn(1);
     }
 
     /// Takes a repeat from the budget of a service that `callers` nodes call. Returns whether there was one.
     pub fn try_repeat(&mut self, service: &Name, callers: usize, now: Time) -> bool {
-        self.budget(service, callers, now).try_retry()
-    }
-
-    /// Like [`Shares::try_repeat`], for a hedge: some repeats are set aside for retries.
-    pub fn try_hedge(&mut self, service: &Name, callers: usize, now: Time) -> bool {
-        self.budget(service, callers, now).try_hedge()
+        self.budget(service, callers, now).try_spend()
     }
 
     /// Removes the budgets of services that have been idle for long.
@@ -106,68 +99,18 @@
     }
 
     /// Returns the budget of a service under the present bounds.
-    fn budget(&mut self, service: &Name, callers: usize, now: Time) -> &mut RepeatBudget {
+    fn budget(&mut self, service: &Name, callers: usize, now: Time) -> &mut Budget {
         let part = self.slack / callers.max(1) as f64;
         let ratio = self.ratio * RATIO_PART;
         let reserve = (part * RESERVE_PART).max(1.0);
-        let initial = || RepeatBudget::new(ratio, part * INITIAL_PART);
+        let initial = || Budget::with_tokens(ratio, reserve, part * INITIAL_PART);
         let (budget, used) = self
             .budgets
             .entry(service.clone())
             .or_insert_with(|| (initial(), now));
         *used = now;
-        budget.set_bounds(ratio, reserve);
+        budget.set_ratio(ratio);
+        budget.set_reserve(reserve);
         budget
     }
 }
-
-/// `RepeatBudget` is a node's budget for the repeats of one service.
-///
-/// Load pattern: some leafs turn slow and others fail part of their calls. A hedge makes an answer come sooner,
-/// but a shard whose call failed is lost without a retry. So a part of the budget is set aside for retries, and
-/// filled first.
-#[derive(Clone, Copy, Debug)]
-struct RepeatBudget {
-    /// For retries first.
-    retries: Budget,
-    /// For hedges first, and for retries once `retries` is spent.
-    shared: Budget,
-}
-
-impl RepeatBudget {
-    /// Creates a budget that holds `tokens` repeats, none of them set aside.
-    fn new(ratio: f64, tokens: f64) -> Self {
-        Self {
-            retries: Budget::with_tokens(ratio, 0.0, 0.0),
-            shared: Budget::with_tokens(ratio, tokens, tokens),
-        }
-    }
-
-    /// Replaces the repeats earned by a request, and the most that are saved.
-    fn set_bounds(&mut self, ratio: f64, reserve: f64) {
-        let for_retries = reserve * RETRY_PART;
-        let is_divisible = for_retries >= 1.0 && reserve - for_retries >= 1.0;
-        let for_retries = if is_divisible { for_retries } else { 0.0 };
-        self.retries.set_ratio(ratio);
-        self.retries.set_reserve(for_retries);
-        self.shared.set_ratio(ratio);
-        self.shared.set_reserve(reserve - for_retries);
-    }
-
-    fn earn(&mut self) {
-        if self.retries.is_full() {
-            self.shared.earn(1);
-        } else {
-            self.retries.earn(1);
-        }
-    }
-
-    /// Takes a repeat for a hedge. One that is set aside is taken only if none of these is missing.
-    fn try_hedge(&mut self) -> bool {
-        self.shared.try_spend() || (self.retries.is_full() && self.retries.try_spend())
-    }
-
-    fn try_retry(&mut self) -> bool {
-        self.retries.try_spend() || self.shared.try_spend()
-    }
-}
--- a/crates/limit/src/budget.rs
+++ b/crates/limit/src/budget.rs
@@ -40,11 +40,6 @@
         self.tokens = self.tokens.min(reserve);
     }
 
-    /// Returns whether the reserve is full.
-    pub fn is_full(&self) -> bool {
-        self.tokens >= self.reserve
-    }
-
     /// Adds the tokens earned by a number of regular calls.
     pub fn earn(&mut self, calls: usize) {
         self.tokens = (self.tokens + self.ratio * calls as f64).min(self.reserve);
