--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -300,12 +300,27 @@
             return Some(self.failure_reply("too few shards can be served", now));
         }
         let all_closed = done + lost == all;
-        if done >= needed && (all_closed || now >= self.answer_by) {
+        let is_due = now >= self.answer_by && all - done <= self.tolerated_gaps(gather, all);
+        if done >= needed && (all_closed || is_due) {
             return Some(self.merge(gather, all - done));
         }
         None
     }
 
+    /// Returns how many of the request's `all` shards an answer may lack when its time is up.
+    ///
+    /// Load pattern: leafs are cold, slow or out of reach, and a segment has few of its shards in time. If it lacks
+    /// more than the whole query may, an answer dooms the query, so the segment is answered late rather than
+    /// incomplete.
+    fn tolerated_gaps(&self, gather: Gather, all: usize) -> usize {
+        match &self.route.target {
+            Target::FanOut(shards, _) if self.from_peer => {
+                shards.len() - min_shards(shards.len(), gather.min_coverage)
+            }
+            _ => all - min_shards(all, gather.min_coverage),
+        }
+    }
+
     fn merge(&self, gather: Gather, missing: usize) -> Reply {
         let answers = || {
             self.shards.iter().filter_map(|shard| match &shard.state {
--- a/crates/edge/tests/segments.rs
+++ b/crates/edge/tests/segments.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{HOST, Node, config, fan_out_route, leaf, shard};
+use common::{HOST, Node, config, fan_out_route, leaf, shard, success};
 use monsoondeal_edge::{
     Answer, CallOutcome, EdgeSettings, LeafCall, LeafEntry, Name, Peer, Reply, RequestEvent,
     RequestHead, SegmentCall, Token,
@@ -273,6 +273,49 @@
     assert!(summary.elapsed <= requested.timeout, "{summary:?}");
 }
 
+/// A segment that lacks more shards than the whole query may is answered once enough of them have answered: an
+/// answer in time would doom the query. With 40 shards and a least coverage of 0.9, a query may lack four.
+#[rstest]
+#[case::bearable(4, true)]
+#[case::too_many(5, false)]
+fn segment_answer_in_time_unless_the_query_is_doomed(
+    #[case] silent_shards: usize,
+    #[case] in_time: bool,
+) {
+    let mut node = node(70);
+    let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
+    node.request("q");
+    let requested = segment_of(&node.calls[1]);
+    node.calls.clear();
+    let token = Token(1_000);
+    request_segment(&mut node, token, requested);
+    let range = requested
+        .range(&shards)
+        .expect("the shards match the digest");
+    let silent: Vec<String> = range
+        .take(silent_shards)
+        .map(|index| format!("{}-", shard(index)))
+        .collect();
+    let is_silent = |name: &str| silent.iter().any(|prefix| name.starts_with(prefix));
+    node.answer_all_except(is_silent);
+    node.run_for(requested.timeout + Duration::from_millis(10));
+    assert_eq!(node.reply(token).is_some(), in_time);
+    if in_time {
+        return;
+    }
+    let late: Vec<LeafCall> = node
+        .calls
+        .iter()
+        .filter(|call| is_silent(&call.instance))
+        .cloned()
+        .collect();
+    node.end_call(late[0].call, success("late"));
+    let Some(Reply::Merged { missing, .. }) = node.reply(token) else {
+        panic!("{:?}", node.reply(token));
+    };
+    assert_eq!(*missing, silent_shards - 1);
+}
+
 /// The budget for repeats is shared among the nodes that serve a segment, since no other node calls its leafs.
 #[test]
 fn segment_repeat_budget_is_shared_by_its_nodes() {
