--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -24,9 +24,6 @@
 /// Quantile over the shards that measures the load. A few slow leafs stay above it and do not count; shards
 /// that have lost some of their leafs do count.
 const LOAD_QUANTILE: f64 = 0.75;
-/// Factor by which a segment may lack more shards than its share of what the query may lack: gaps are rarely spread
-/// evenly over the segments.
-const GAP_CONCENTRATION: f64 = 3.0;
 /// Multiple of the objective after which a request to a single leaf is given up: far beyond the time of a slow leaf.
 const GIVE_UP_OBJECTIVES: u32 = 3;
 /// Multiple of the objective that must be left to the caller then.
@@ -312,15 +309,13 @@
 
     /// Returns how many of the request's `all` shards an answer may lack when its time is up.
     ///
-    /// Load pattern: leafs are cold, slow or out of reach, and segments have few of their shards in time. If one lacks
-    /// far more than its share of what the query may lack, an answer is likely to doom the query, so the segment is
-    /// answered late rather than incomplete.
+    /// Load pattern: leafs are cold, slow or out of reach, and a segment has few of its shards in time. If it lacks
+    /// more than the whole query may, an answer dooms the query, so the segment is answered late rather than
+    /// incomplete.
     fn tolerated_gaps(&self, gather: Gather, all: usize) -> usize {
         match &self.route.target {
             Target::FanOut(shards, _) if self.from_peer => {
-                let tolerated = shards.len() - min_shards(shards.len(), gather.min_coverage);
-                let share = tolerated as f64 * all as f64 / shards.len() as f64;
-                tolerated.min((share * GAP_CONCENTRATION).ceil() as usize)
+                shards.len() - min_shards(shards.len(), gather.min_coverage)
             }
             _ => all - min_shards(all, gather.min_coverage),
         }
--- a/crates/edge/tests/notices.rs
+++ b/crates/edge/tests/notices.rs
@@ -128,6 +128,28 @@
     assert_eq!(called(&mut node, 3).len(), 3);
 }
 
+/// Each incarnation may leave.
+#[test]
+fn leaving_leaf_born_anew_leaves_again() {
+    let mut node = service_node(&["one", "two"], 6);
+    leave(&mut node, "one");
+    let born_anew = LeafEntry {
+        born: 2,
+        ..leaf("one", "s")
+    };
+    upsert(&mut node, born_anew);
+    assert!(is_callable(&mut node, "one"));
+    let (name, notice) = (
+        Name::from("one"),
+        LeafNotice {
+            leaving: true,
+            pause: None,
+        },
+    );
+    node.apply(|edge, now, out| edge.note_leaf((&name, 2), notice, now, out));
+    assert!(!is_callable(&mut node, "one"));
+}
+
 /// The notice arrives after the leaf's entry has vanished, and the entry returns.
 #[test]
 fn leaving_leaf_unknown_at_the_time() {
