Review case 4: the parts of a query run as orders of another service

Cause: a node that is asked for a segment of a query drops the segment if its own version routes the path to one service. Change: a script that shows the case; the case of a leaf's own 503 is number 5 now.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/monsoondeal target/review/stage; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec target/review/stage own-503 review/4
+exec target/review/stage segment-as-order review/4
--- a/review/cases.rs
+++ b/review/cases.rs
@@ -17,6 +17,7 @@
         "own-503" => own_503(stage),
         "bad-bytes" => bad_bytes(stage),
         "mixed-versions" => mixed_versions(stage),
+        "segment-as-order" => segment_as_order(stage),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -441,6 +442,29 @@
     ))
 }
 
+/// Starts clients that send queries until the stage stops. Each has one node and keeps its connection.
+fn start_queries(
+    stage: &Stage,
+    nodes: &[Node],
+    path: &'static str,
+) -> Vec<thread::JoinHandle<Vec<Answered>>> {
+    (0..12)
+        .map(|index| {
+            let (record, stop) = (stage.record.clone(), stage.stop.clone());
+            let front = nodes[index % nodes.len()].front;
+            thread::spawn(move || {
+                let mut client = Client::new(front, &record);
+                let mut answers = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    thread::sleep(ms(200).mul_f64(0.5 + record.share()));
+                    answers.push(client.send("GET", path, ms(2_000), b""));
+                }
+                answers
+            })
+        })
+        .collect()
+}
+
 /// A node is cut off from the store while a route is added below another one.
 fn mixed_versions(stage: &Stage) -> io::Result<bool> {
     let shards: Vec<String> = (1..=20).map(|index| format!("shard-{index:02}")).collect();
@@ -454,21 +478,7 @@
     };
     let deployment = deploy_config(stage, size, &shards, &search_config(7, &shards, false))?;
     thread::sleep(ms(2_500));
-    let clients: Vec<_> = (0..12)
-        .map(|index| {
-            let (record, stop) = (stage.record.clone(), stage.stop.clone());
-            let front = deployment.nodes[index % size.nodes].front;
-            thread::spawn(move || {
-                let mut client = Client::new(front, &record);
-                let mut answers = Vec::new();
-                while !stop.load(Ordering::Relaxed) {
-                    thread::sleep(ms(200).mul_f64(0.5 + record.share()));
-                    answers.push(client.send("GET", "/search/quick/2f", ms(2_000), b""));
-                }
-                answers
-            })
-        })
-        .collect();
+    let clients = start_queries(stage, &deployment.nodes, "/search/quick/2f");
     thread::sleep(ms(3_000));
     let door = &deployment.doors[0];
     if stage.trouble {
@@ -509,3 +519,109 @@
         .say(&format!("successes that are wrong: {wrong}"));
     Ok(wrong == 0)
 }
+
+/// A configuration with a route to one service for orders, and in earlier versions a route below it with queries over
+/// all shards.
+fn order_search_config(version: u64, shards: &[String], has_search: bool) -> Vec<u8> {
+    let names: Vec<String> = shards.iter().map(|shard| format!("\"{shard}\"")).collect();
+    let mut routes = "{\"name\":\"r-orders\",\"host\":\"host.example\",\"path_prefix\":\"/orders/\",\"route_type\":\"non_idempotent\",\"timeout_ms\":2000,\"target_latency_ms\":200,\"priority\":2,\"service\":\"ledger\",\"max_attempts\":2}".to_owned();
+    if has_search {
+        routes.push_str(&format!(
+            ",{{\"name\":\"r-search\",\"host\":\"host.example\",\"path_prefix\":\"/orders/search/\",\"route_type\":\"idempotent\",\"timeout_ms\":2000,\"target_latency_ms\":200,\"priority\":1,\"fanout\":[{}],\"max_attempts\":2,\"top_k\":20,\"min_coverage\":0.89}}",
+            names.join(",")
+        ));
+    }
+    let spec = |name: &str, connections: usize| {
+        format!(
+            "{{\"name\":\"{name}\",\"health_check_path\":\"/health\",\"max_connections\":{connections},\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":3.0,\"cold_per_s\":0.0}}"
+        )
+    };
+    let mut specs: Vec<String> = shards.iter().map(|shard| spec(shard, 5)).collect();
+    specs.push(spec("ledger", 96));
+    format!(
+        "{{\"config_version\":{version},\"routes\":[{routes}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
+        specs.join(",")
+    )
+    .into_bytes()
+}
+
+/// A node is cut off from the store while a route with queries over all shards is removed. Its path then belongs to
+/// the route above it, whose requests may run at most once.
+fn segment_as_order(stage: &Stage) -> io::Result<bool> {
+    let shards: Vec<String> = (1..=20).map(|index| format!("shard-{index:02}")).collect();
+    let services: Vec<String> = shards
+        .iter()
+        .cloned()
+        .chain(["ledger".to_owned()])
+        .collect();
+    let size = Size {
+        nodes: 6,
+        services: services.len(),
+        leafs: 2,
+        slots: 3,
+        queue: 18,
+        work: ms(9),
+    };
+    let deployment = deploy_config(
+        stage,
+        size,
+        &services,
+        &order_search_config(7, &shards, true),
+    )?;
+    thread::sleep(ms(2_500));
+    let clients = start_queries(stage, &deployment.nodes, "/orders/search/2f");
+    thread::sleep(ms(3_000));
+    let door = &deployment.doors[0];
+    if stage.trouble {
+        stage.record.line(&format!(
+            "the node at {} is cut off from the store",
+            deployment.nodes[0].front
+        ));
+        door.is_cut.store(true, Ordering::Relaxed);
+    }
+    thread::sleep(ms(200));
+    stage
+        .record
+        .line("the store acknowledges version 8, which removes the route /orders/search/");
+    deployment
+        .store
+        .put("config", "main", &order_search_config(8, &shards, false));
+    thread::sleep(ms(5_300));
+    stage.record.line("the node reaches the store again");
+    door.is_cut.store(false, Ordering::Relaxed);
+    thread::sleep(ms(2_000));
+    let answers = finish(stage, clients);
+    summarize(stage, &answers);
+
+    // Only the route /orders/ sends requests to the service ledger, and they may run at most once.
+    let ledger: Vec<&str> = deployment
+        .leafs
+        .iter()
+        .filter(|leaf| leaf.0.settings.service == "ledger")
+        .map(|leaf| leaf.0.name.as_str())
+        .collect();
+    let runs = deployment.runs.lock().unwrap().clone();
+    let orders: Vec<Run> = runs
+        .into_iter()
+        .filter(|run| ledger.contains(&run.leaf.as_str()))
+        .collect();
+    let is_unrepeated = check_at_most_once(stage, &answers, &orders);
+
+    let mut wrong = 0;
+    for answer in answers
+        .iter()
+        .filter(|answer| answer.response.field("x-monsoondeal-part-stamps").is_some())
+    {
+        if let Some(fault) = gather_fault(answer, &shards, &[20]) {
+            wrong += 1;
+            stage.record.line(&format!(
+                "MIXED: {} (sent at {} ms): {fault}",
+                answer.id, answer.sent_at
+            ));
+        }
+    }
+    stage
+        .record
+        .say(&format!("successes that are wrong: {wrong}"));
+    Ok(is_unrepeated && wrong == 0)
+}
--- a/review/stage.rs
+++ b/review/stage.rs
@@ -650,7 +650,7 @@
             return response(garble.fail_status, &[echo, stamp], b"failed\n");
         }
         record.line(&format!("leaf {name} has run {id}, answers it with 200"));
-        let body = match target.starts_with("/search/") {
+        let body = match settings.service.starts_with("shard-") {
             true => records(&id, &settings.service).concat(),
             false => format!("done {id} at {name}\n").into_bytes(),
         };
