--- a/review/cases.rs
+++ b/review/cases.rs
@@ -251,7 +251,7 @@
 const CALM: Size = Size {
     nodes: 4,
     services: 1,
-    leafs: 7,
+    leafs: 8,
     slots: 3,
     queue: 8,
     work: ms(40),
@@ -262,7 +262,7 @@
     let deployment = deploy(stage, CALM)?;
     let clients = start_clients(stage, &deployment.nodes, 1, 16, ms(100));
     thread::sleep(ms(2_000));
-    // One leaf of seven: a share of 0.143.
+    // One leaf of eight: a share of 0.125.
     let garble = &deployment.leafs[0].0.garble;
     if stage.trouble {
         *garble.lock().unwrap() = Garble {
@@ -495,7 +495,7 @@
     deployment
         .store
         .put("config", "main", &search_config(8, &shards, true));
-    thread::sleep(ms(5_300));
+    thread::sleep(ms(3_800));
     stage.record.line("the node reaches the store again");
     door.is_cut.store(false, Ordering::Relaxed);
     thread::sleep(ms(4_000));
@@ -586,7 +586,7 @@
     deployment
         .store
         .put("config", "main", &order_search_config(8, &shards, false));
-    thread::sleep(ms(5_300));
+    thread::sleep(ms(3_800));
     stage.record.line("the node reaches the store again");
     door.is_cut.store(false, Ordering::Relaxed);
     thread::sleep(ms(2_000));
