Queries: a segment is run by the plan it belongs to, and by nothing else

Cause: a node that was asked for a segment of a query routed the request anew, by host and path, in its own version of the configuration. The digest in the call covered the shards only, and was compared only if the route found was a query. Otherwise the segment was run as an order, and the asking node took an answer without parts for all shards of the segment. The two cases are the same fault on two paths, so they are mended together.

Change: a call names its plan (route, shards, records, coverage, attempts). The asked node looks the plan up by identity; what it gets (SegmentHead) has neither host nor path to route by. A plan that is not in force is rejected as not run. An answer repeats its call, has a type of its own, and is used only if it names no more parts than the segment has shards. The port for other nodes takes nothing but segment calls of this form. Calls carry a host that no route has, so older programs state that they ran nothing.

Ruled out: that the asking node mixes versions itself; a request keeps the route that it began with.

--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -10,6 +10,7 @@
 use crate::config::Name;
 use crate::leaf_notices::NoticeTaken;
 use crate::ledger_client::MovePost;
+use crate::plan::PlanId;
 use crate::segment::SegmentCall;
 use crate::version_moves::{MoveDecision, MoveReport};
 
@@ -30,8 +31,17 @@
     pub timeout: Option<Duration>,
     /// Whether the caller opened its connection for this request.
     pub is_first: bool,
-    /// Set if another node asks for a segment of a query.
-    pub segment: Option<SegmentCall>,
+}
+
+/// `SegmentHead` holds the parts of another node's request for a segment that decide how it is served.
+#[derive(Clone, Copy, Debug)]
+pub struct SegmentHead {
+    /// Identifies the request.
+    pub token: Token,
+    /// The segment.
+    pub call: SegmentCall,
+    /// How long the other node waits; if `None`, the route's timeout applies.
+    pub timeout: Option<Duration>,
 }
 
 /// `Answer` is the complete answer of a leaf.
@@ -42,9 +52,7 @@
     /// Header fields that are passed on to the caller.
     pub headers: HeaderMap,
     /// Signature of the leaf on its answer.
-    pub signature: Option<Bytes>,
-    /// Signatures of the leafs that served the parts, in the answer of a node that served a segment.
-    pub part_signatures: Vec<Bytes>,
+    pub signature: Bytes,
     /// Complete body.
     pub body: Bytes,
     /// Microseconds until the call was written: the time to open a connection and to check the leaf's name.
@@ -52,18 +60,30 @@
 }
 
 impl Answer {
-    /// Returns whether the leaf served the request: the status is 2xx, and the answer carries a stamp.
+    /// Returns whether the leaf served the request: the status is 2xx.
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
-            && (self.signature.is_some() || !self.part_signatures.is_empty())
     }
 }
 
+/// `SegmentAnswer` is the complete answer of a node to a [`SegmentCall`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct SegmentAnswer {
+    /// Signatures of the leafs that served the parts. At least one.
+    pub signatures: Vec<Bytes>,
+    /// Merged records of the parts.
+    pub body: Bytes,
+    /// Microseconds until the call was written: the time to open a connection.
+    pub setup_micros: u32,
+}
+
 /// `CallOutcome` is how a call to a leaf ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallOutcome {
     /// The leaf's complete answer arrived.
     Answer(Answer),
+    /// The complete answer of a node to a call for a segment arrived.
+    Segment(SegmentAnswer),
     /// The leaf stated that it did not run the call.
     Refused,
     /// Another leaf answered at the address; the call did not run.
@@ -81,6 +101,17 @@
     TooLarge,
 }
 
+impl CallOutcome {
+    /// Returns whether the call was served.
+    pub fn is_success(&self) -> bool {
+        match self {
+            Self::Answer(answer) => answer.is_success(),
+            Self::Segment(_) => true,
+            _ => false,
+        }
+    }
+}
+
 /// `LeafCall` is a call to send to a leaf.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LeafCall {
@@ -180,6 +211,15 @@
         /// budget.
         is_repeat: bool,
     },
+    /// Another node asked for a segment of a query whose plan is not in force here.
+    UnknownPlan {
+        /// Plan of the query.
+        plan: PlanId,
+        /// Version of the configuration of the node that asked.
+        asked_version: u64,
+        /// Version of the configuration in force.
+        version: u64,
+    },
     /// A shard was given up.
     Lost {
         /// Service of the shard.
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::plan::{PlanId, QueryPlan};
+
 /// Name of a service, route, leaf, version or failure domain. Cloning it is cheap.
 pub type Name = Rc<str>;
 
@@ -101,6 +103,7 @@
 
 /// `Config` is one version of the configuration.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(from = "StoredConfig")]
 pub struct Config {
     /// Version; increases with each configuration.
     pub version: u64,
@@ -111,7 +114,43 @@
     /// Services that are shards of some route.
     shards: HashSet<Name>,
     /// Routes by host, then by prefix.
-    routes: HashMap<String, HashMap<String, Rc<Route>>>,
+    routes: RouteTable,
+    /// Plans of the routes that are queries.
+    #[serde(skip)]
+    plans: HashMap<PlanId, QueryPlan>,
+}
+
+/// Routes by host, then by prefix.
+type RouteTable = HashMap<String, HashMap<String, Rc<Route>>>;
+
+/// The serialized form of a configuration, without what follows from the rest.
+#[derive(Deserialize)]
+struct StoredConfig {
+    version: u64,
+    services: HashMap<Name, Service>,
+    limits: Limits,
+    shards: HashSet<Name>,
+    routes: RouteTable,
+}
+
+impl From<StoredConfig> for Config {
+    fn from(stored: StoredConfig) -> Self {
+        Self {
+            version: stored.version,
+            services: stored.services,
+            limits: stored.limits,
+            shards: stored.shards,
+            plans: plans(&stored.routes),
+            routes: stored.routes,
+        }
+    }
+}
+
+/// Returns the plans of the routes that are queries.
+fn plans(routes: &RouteTable) -> HashMap<PlanId, QueryPlan> {
+    let routes = routes.values().flat_map(HashMap::values);
+    let plans = routes.filter_map(QueryPlan::of);
+    plans.map(|plan| (plan.id(), plan)).collect()
 }
 
 impl Config {
@@ -120,7 +159,7 @@
     where
         R: IntoIterator<Item = Route>,
     {
-        let mut table: HashMap<String, HashMap<String, Rc<Route>>> = HashMap::new();
+        let mut table = RouteTable::new();
         let mut shards = HashSet::new();
         for route in routes {
             if let Target::FanOut(services, _) = &route.target {
@@ -136,6 +175,7 @@
             services,
             limits,
             shards,
+            plans: plans(&table),
             routes: table,
         }
     }
@@ -153,6 +193,11 @@
         ends.into_iter().find_map(|end| routes.get(&path[..end]))
     }
 
+    /// Returns the plan of a query, whatever path leads to it.
+    pub(crate) fn plan(&self, id: PlanId) -> Option<&QueryPlan> {
+        self.plans.get(&id)
+    }
+
     /// Returns whether a service is a shard of some route.
     pub fn is_shard(&self, service: &str) -> bool {
         self.shards.contains(service)
--- a/crates/edge/src/edge/arrival.rs
+++ b/crates/edge/src/edge/arrival.rs
@@ -8,29 +8,30 @@
 use smallvec::SmallVec;
 
 use super::{Edge, tracker};
-use crate::action::{Action, Reply, RequestHead, Summary, Token};
+use crate::action::{Action, Reply, RequestEvent, RequestHead, SegmentHead, Summary, Token};
 use crate::admission::Admission;
-use crate::config::{Name, Route, Target};
+use crate::config::{Config, Name, Route, Target};
+use crate::plan::{PlanId, QueryPlan};
 use crate::request::{BUSY_RETRY_AFTER, NO_LEAF_RETRY_AFTER, PendingRequest, min_shards};
 use crate::response_tracker::ResponseTracker;
 use crate::segment::{
-    CALL_CPU_TIME, MIN_CORES, SEGMENT_ROUND_TRIP, SegmentCall, is_segment, saves_time,
-    segment_name, segment_range, shards_digest,
+    CALL_CPU_TIME, MIN_CORES, SEGMENT_ROUND_TRIP, is_segment, saves_time, segment_name,
+    segment_range, shards_digest,
 };
 
 /// Maximum expected wait for a leaf, as a share of the objective.
 pub(super) const QUEUE_SHARE: f64 = 0.5;
 /// Processor time reserved for merging the answers of segments and writing the response.
 const MERGE_CPU_TIME: Duration = Duration::from_micros(600);
-/// `retry_after` while no configuration is known, or for a segment that does not match the configuration.
+/// `retry_after` while no configuration is known, or for a segment whose plan is not in force.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Services or segments that a request needs answers from.
 pub(super) struct Targets {
     /// Services, or segments, each with the number of shards that it stands for.
     services: Vec<(Name, usize)>,
-    /// Digest of all shards, if they are cut into segments.
-    digest: Option<u64>,
+    /// Plan whose shards are cut into segments, if they are.
+    split: Option<PlanId>,
 }
 
 impl Targets {
@@ -42,13 +43,13 @@
         let services = services.into_iter().map(|service| (service.clone(), 1));
         Self {
             services: services.collect(),
-            digest: None,
+            split: None,
         }
     }
 
     /// Returns the key under which the response times of the calls are tracked.
     fn tracker_key(&self, route: &Route) -> Name {
-        match self.digest {
+        match self.split {
             Some(_) => Name::from(format!("{} by segments", route.name)),
             None => route.name.clone(),
         }
@@ -56,17 +57,12 @@
 }
 
 impl Edge {
-    /// Begins to serve a request.
+    /// Begins to serve a request of a caller.
     pub fn request(&mut self, head: &RequestHead<'_>, now: Time, out: &mut Vec<Action>) {
         self.counts.requests += 1;
         let token = head.token;
-        let known = self.config.clone().filter(|_| self.is_ready());
-        let Some(config) = known else {
-            let reply = Reply::Rejected {
-                reason: "no configuration is known",
-                retry_after: NO_CONFIG_RETRY_AFTER,
-            };
-            self.reply_early(token, reply, Summary::default(), out);
+        let Some(config) = self.known_config() else {
+            self.reply_early(token, unknown_config(), Summary::default(), out);
             return;
         };
         let Some(route) = config.route(head.host, head.path) else {
@@ -77,40 +73,88 @@
             self.reply_early(token, Reply::NoRoute, summary, out);
             return;
         };
-        let Some(targets) = self.resolve(route, head.segment.as_ref(), now) else {
-            let reply = Reply::Rejected {
-                reason: "the segment belongs to another configuration",
-                retry_after: NO_CONFIG_RETRY_AFTER,
-            };
-            self.reply_early(token, reply, Summary::default(), out);
+        let targets = self.resolve(route, now);
+        self.count_requests(&targets.services, now);
+        if let Some(reply) = self.rejection(route, &targets, false, now) {
+            let summary = early_summary(&config, route, &targets);
+            self.reply_early(token, reply, summary, out);
             return;
-        };
+        }
+        let timeout = head.timeout.unwrap_or(route.timeout);
         let services = &targets.services;
-        // A request for a segment is counted only after it is accepted: another node may be asked for a
-        // rejected segment, and counts the request then.
-        let from_peer = head.segment.is_some();
-        if !from_peer {
-            self.count_requests(services, now);
+        let mut request =
+            PendingRequest::new(route.clone(), config.version, services, timeout, now);
+        if head.is_first {
+            request.reserve_setup_time();
         }
-        if let Some(reply) = self.rejection(route, &targets, from_peer, now) {
+        self.apply_split(&mut request, &targets);
+        self.begin(token, request, now, out);
+    }
+
+    /// Begins to serve a segment of a query for another node. It is run as its plan says, or rejected as not run if
+    /// the configuration in force does not have that plan.
+    pub fn segment(&mut self, head: &SegmentHead, now: Time, out: &mut Vec<Action>) {
+        self.counts.requests += 1;
+        let (token, call) = (head.token, &head.call);
+        let Some(config) = self.known_config() else {
+            self.reply_early(token, unknown_config(), Summary::default(), out);
+            return;
+        };
+        let plan = config.plan(call.plan);
+        let Some((plan, range)) =
+            plan.and_then(|plan| Some((plan, call.range(plan.shards().len())?)))
+        else {
+            self.counts.unknown_plans += 1;
+            let event = RequestEvent::UnknownPlan {
+                plan: call.plan,
+                asked_version: call.version,
+                version: config.version,
+            };
+            out.push(Action::Log(token, event));
+            let reply = Reply::Rejected {
+                reason: "the plan of the segment is not in force",
+                retry_after: NO_CONFIG_RETRY_AFTER,
+            };
             let summary = Summary {
-                route: Some(route.name.clone()),
                 version: config.version,
-                shards: services.len(),
                 ..Summary::default()
             };
             self.reply_early(token, reply, summary, out);
             return;
+        };
+        let route = plan.route();
+        let targets = Targets::direct(&plan.shards()[range]);
+        if let Some(reply) = self.rejection(route, &targets, true, now) {
+            let summary = early_summary(&config, route, &targets);
+            self.reply_early(token, reply, summary, out);
+            return;
         }
-        if from_peer {
-            self.count_requests(services, now);
-        }
+        // Counted only now: another node may be asked for a rejected segment, and counts the request then.
+        self.count_requests(&targets.services, now);
         let timeout = head.timeout.unwrap_or(route.timeout);
+        let services = &targets.services;
         let mut request =
             PendingRequest::new(route.clone(), config.version, services, timeout, now);
-        self.apply_head(&mut request, head, &targets, now);
+        request.from_peer = true;
+        request.answer_by = now + call.timeout;
+        self.begin(token, request, now, out);
+    }
+
+    /// Returns the configuration if the node knows enough to serve requests.
+    fn known_config(&self) -> Option<Rc<Config>> {
+        self.config.clone().filter(|_| self.is_ready())
+    }
+
+    /// Sends the first calls of an accepted request.
+    fn begin(
+        &mut self,
+        token: Token,
+        mut request: PendingRequest,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
         request.unloaded_time =
-            tracker(&mut self.trackers, &request.tracker_key, route).unloaded_time();
+            tracker(&mut self.trackers, &request.tracker_key, &request.route).unloaded_time();
         if let Some(admission) = self.admission(&request) {
             admission.begin(request.unloaded_time);
         }
@@ -131,28 +175,21 @@
         }
     }
 
-    /// Returns the targets of a request; `None` if the segment that another node asks for does not match
-    /// the configuration.
-    fn resolve(
-        &mut self,
-        route: &Rc<Route>,
-        segment: Option<&SegmentCall>,
-        now: Time,
-    ) -> Option<Targets> {
-        let shards = match &route.target {
-            Target::Service(service) => return Some(Targets::direct([service])),
-            Target::Split(parts) => {
-                let service = self.splits.next(&route.name, parts);
-                return Some(Targets::direct(&service));
-            }
-            Target::FanOut(shards, _) => shards,
+    /// Returns the targets of a caller's request.
+    fn resolve(&mut self, route: &Rc<Route>, now: Time) -> Targets {
+        let Some(plan) = QueryPlan::of(route) else {
+            return match &route.target {
+                Target::Split(parts) => {
+                    let service = self.splits.next(&route.name, parts);
+                    Targets::direct(&service)
+                }
+                Target::Service(service) => Targets::direct([service]),
+                Target::FanOut(shards, _) => Targets::direct(shards),
+            };
         };
-        if let Some(segment) = segment {
-            let range = segment.range(shards)?;
-            return Some(Targets::direct(&shards[range]));
-        }
+        let shards = plan.shards();
         if !self.needs_segments(shards) {
-            return Some(Targets::direct(shards));
+            return Targets::direct(shards);
         }
         let digest = shards_digest(shards);
         let count = shards.len().div_ceil(self.segment_size);
@@ -161,10 +198,10 @@
             self.add_segment_leafs(&name, now);
             (name, segment_range(index, count, shards.len()).len())
         });
-        Some(Targets {
+        Targets {
             services: segments.collect(),
-            digest: Some(digest),
-        })
+            split: Some(plan.id()),
+        }
     }
 
     /// Returns whether a query is split into segments: its leafs accept fewer connections than there are nodes, or
@@ -175,30 +212,15 @@
         is_short || saves_time(shards.len(), self.segment_size, &self.peers)
     }
 
-    /// Applies the caller's connection set-up, and the segments of a query, to the times and calls of a
-    /// request.
-    fn apply_head(
-        &self,
-        request: &mut PendingRequest,
-        head: &RequestHead<'_>,
-        targets: &Targets,
-        now: Time,
-    ) {
-        if head.is_first {
-            request.reserve_setup_time();
-        }
-        if let Some(segment) = &head.segment {
-            request.from_peer = true;
-            request.answer_by = now + segment.timeout;
-            return;
-        }
-        if targets.digest.is_some() {
+    /// Applies the segments of a query, if it is split, to the times and calls of a request.
+    fn apply_split(&self, request: &mut PendingRequest, targets: &Targets) {
+        if targets.split.is_some() {
             let segments = targets.services.len() as u32;
             request.answer_by =
                 (request.answer_by - self.wall_time(MERGE_CPU_TIME)).max(request.received_at);
             request.reply_reserve = SEGMENT_ROUND_TRIP + self.wall_time(CALL_CPU_TIME * segments);
         }
-        request.digest = targets.digest;
+        request.split = targets.split;
         request.tracker_key = targets.tracker_key(&request.route);
     }
 
@@ -331,3 +353,21 @@
         out.push(Action::Reply(token, reply, summary));
     }
 }
+
+/// Returns the rejection of a request that arrives before the configuration.
+fn unknown_config() -> Reply {
+    Reply::Rejected {
+        reason: "no configuration is known",
+        retry_after: NO_CONFIG_RETRY_AFTER,
+    }
+}
+
+/// Returns the summary of a request that is rejected before any call.
+fn early_summary(config: &Config, route: &Route, targets: &Targets) -> Summary {
+    Summary {
+        route: Some(route.name.clone()),
+        version: config.version,
+        shards: targets.services.len(),
+        ..Summary::default()
+    }
+}
--- a/crates/edge/src/edge/call_outcome.rs
+++ b/crates/edge/src/edge/call_outcome.rs
@@ -95,6 +95,15 @@
                 shard.response = Some(elapsed);
                 return;
             }
+            CallOutcome::Segment(answer) if answer.signatures.len() <= shard.weight => {
+                shard.state = ShardState::Gathered(answer);
+                shard.response = Some(elapsed);
+                return;
+            }
+            CallOutcome::Segment(_) => {
+                shard.has_arrived = true;
+                "too_many_parts"
+            }
             CallOutcome::Answer(answer) => {
                 shard.has_arrived = true;
                 shard.failure = Some(answer);
@@ -249,14 +258,14 @@
         now: Time,
     ) -> LeafFeedback {
         match outcome {
-            CallOutcome::Answer(answer) if answer.is_success() => {
+            outcome if outcome.is_success() => {
                 let Some(tracker) = self.trackers.get_mut(&call.tracker_key) else {
                     return LeafFeedback::Success(1.0);
                 };
                 tracker.record(response, now);
                 LeafFeedback::Success(tracker.slowness(response))
             }
-            CallOutcome::Answer(_) => LeafFeedback::Failed,
+            CallOutcome::Answer(_) | CallOutcome::Segment(_) => LeafFeedback::Failed,
             CallOutcome::Refused => LeafFeedback::Refused,
             CallOutcome::Misdirected
             | CallOutcome::Unsent
@@ -269,11 +278,11 @@
 
     /// Records what the end of a call shows about whether its leaf is alive at its address.
     fn update_liveness(&mut self, call: &Call, outcome: &CallOutcome, now: Time) {
-        if matches!(outcome, CallOutcome::Answer(answer) if answer.is_success()) {
+        if outcome.is_success() {
             self.directory.note_served(call.leaf, call.sent_at, now);
         }
         match outcome {
-            CallOutcome::Answer(_) | CallOutcome::Refused => {
+            CallOutcome::Answer(_) | CallOutcome::Segment(_) | CallOutcome::Refused => {
                 self.directory.note_alive(call.leaf, call.sent_at)
             }
             CallOutcome::Misdirected | CallOutcome::Displaced => {
@@ -297,7 +306,7 @@
         now: Time,
     ) {
         let failed = match outcome {
-            CallOutcome::Answer(answer) => Some(!answer.is_success()),
+            CallOutcome::Answer(_) | CallOutcome::Segment(_) => Some(!outcome.is_success()),
             CallOutcome::Broken | CallOutcome::TooLarge => Some(true),
             CallOutcome::Refused
             | CallOutcome::Misdirected
@@ -314,6 +323,7 @@
         let sample = failed.filter(|failed| *failed || !is_cold);
         let setup = match outcome {
             CallOutcome::Answer(answer) => Duration::from_micros(answer.setup_micros.into()),
+            CallOutcome::Segment(answer) => Duration::from_micros(answer.setup_micros.into()),
             _ => Duration::ZERO,
         };
         let result = CallRecord {
@@ -329,7 +339,7 @@
 
     pub(super) fn count_outcome(&mut self, outcome: &CallOutcome) {
         match outcome {
-            CallOutcome::Answer(_) => {}
+            CallOutcome::Answer(_) | CallOutcome::Segment(_) => {}
             CallOutcome::Refused => self.counts.refused += 1,
             CallOutcome::Misdirected => self.counts.misdirected += 1,
             CallOutcome::Unsent => self.counts.unsent += 1,
--- a/crates/edge/src/edge/dispatch.rs
+++ b/crates/edge/src/edge/dispatch.rs
@@ -237,10 +237,11 @@
         } else {
             2
         };
-        let segment = request.digest.map(|digest| SegmentCall {
+        let segment = request.split.map(|plan| SegmentCall {
+            plan,
+            version: request.version,
             index: shard_index,
             count: request.shards.len(),
-            digest,
             timeout: request.answer_by.since(now + request.reply_reserve),
         });
         out.push(Action::Send(LeafCall {
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -95,6 +95,8 @@
     pub timed_out: u64,
     /// Requests without a route.
     pub no_route: u64,
+    /// Segments that other nodes asked for whose plan was not in force.
+    pub unknown_plans: u64,
     /// Requests whose caller disconnected.
     pub left: u64,
     /// Calls sent to leafs.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod leaf_notices;
 mod ledger_client;
 mod merge;
+mod plan;
 mod request;
 mod response_tracker;
 mod round_robin;
@@ -23,7 +24,8 @@
 mod versions;
 
 pub use action::{
-    Action, Answer, CallOutcome, LeafCall, Reply, RequestEvent, RequestHead, Summary, Token,
+    Action, Answer, CallOutcome, LeafCall, Reply, RequestEvent, RequestHead, SegmentAnswer,
+    SegmentHead, Summary, Token,
 };
 pub use admission::{Admission, LoadSignal};
 pub use config::{Config, Gather, Limits, Name, Repeat, Route, Service, Target};
@@ -32,6 +34,7 @@
 pub use leaf_notices::{LeafNotice, NoticeTaken};
 pub use ledger_client::MovePost;
 pub use merge::{RECORD_BYTES, top_records};
+pub use plan::PlanId;
 pub use response_tracker::ResponseTracker;
 pub use round_robin::WeightedRoundRobin;
 pub use segment::{Peer, SegmentCall};
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -7,10 +7,11 @@
 use monsoondeal_core::{CallId, LeafId, Time};
 use smallvec::SmallVec;
 
-use crate::action::{Answer, Reply, Summary};
+use crate::action::{Answer, Reply, SegmentAnswer, Summary};
 use crate::admission::LoadSignal;
 use crate::config::{Gather, Name, Repeat, Route, Target};
 use crate::merge::top_records;
+use crate::plan::PlanId;
 
 /// Share of the objective that is reserved for sending the response.
 const RESPONSE_RESERVE_SHARE: f64 = 0.05;
@@ -40,6 +41,8 @@
     Open,
     /// A leaf served the shard.
     Done(Answer),
+    /// A node served the segment, or some of its shards.
+    Gathered(SegmentAnswer),
     /// The shard will not be served. Holds the failure that a leaf answered with, if any.
     Lost(Option<Answer>),
 }
@@ -97,10 +100,8 @@
     /// Returns the number of shards that have answered.
     fn answered(&self) -> usize {
         match &self.state {
-            ShardState::Done(answer) if !answer.part_signatures.is_empty() => {
-                answer.part_signatures.len().min(self.weight)
-            }
-            ShardState::Done(_) => self.weight,
+            ShardState::Done(_) => 1,
+            ShardState::Gathered(answer) => answer.signatures.len(),
             ShardState::Open | ShardState::Lost(_) => 0,
         }
     }
@@ -129,8 +130,8 @@
     pub(crate) unloaded_time: Duration,
     /// Key under which the response times of its calls are tracked.
     pub(crate) tracker_key: Name,
-    /// Digest of all shards, if the calls go to nodes that serve segments.
-    pub(crate) digest: Option<u64>,
+    /// Plan of the query, if the calls go to nodes that serve segments of it.
+    pub(crate) split: Option<PlanId>,
     /// Time reserved between the answers of segments and the reply.
     pub(crate) reply_reserve: Duration,
     /// Whether the request comes from another node, which asks for a segment of a query.
@@ -165,7 +166,7 @@
             refused: 0,
             unloaded_time: Duration::ZERO,
             tracker_key: route.name.clone(),
-            digest: None,
+            split: None,
             reply_reserve: Duration::ZERO,
             from_peer: false,
             retry_at: now,
@@ -322,17 +323,22 @@
     }
 
     fn merge(&self, gather: Gather, missing: usize) -> Reply {
-        let answers = || {
-            self.shards.iter().filter_map(|shard| match &shard.state {
-                ShardState::Done(answer) => Some(answer),
-                ShardState::Open | ShardState::Lost(_) => None,
-            })
-        };
-        let signatures: Vec<Bytes> = answers()
-            .flat_map(|answer| answer.signature.iter().chain(&answer.part_signatures))
-            .cloned()
-            .collect();
-        let body = top_records(answers().map(|a| a.body.as_ref()), gather.top_k);
+        let mut signatures: Vec<Bytes> = Vec::new();
+        let mut bodies: Vec<&[u8]> = Vec::new();
+        for shard in &self.shards {
+            match &shard.state {
+                ShardState::Done(answer) => {
+                    signatures.push(answer.signature.clone());
+                    bodies.push(&answer.body);
+                }
+                ShardState::Gathered(answer) => {
+                    signatures.extend(answer.signatures.iter().cloned());
+                    bodies.push(&answer.body);
+                }
+                ShardState::Open | ShardState::Lost(_) => {}
+            }
+        }
+        let body = top_records(bodies, gather.top_k);
         Reply::Merged {
             signatures,
             missing,
@@ -342,7 +348,8 @@
 
     fn single_reply(&self, now: Time) -> Option<Reply> {
         match &self.shards.first()?.state {
-            ShardState::Open => None,
+            // No request to a single leaf is split into segments.
+            ShardState::Open | ShardState::Gathered(_) => None,
             ShardState::Done(answer) | ShardState::Lost(Some(answer)) => {
                 Some(Reply::Answer(answer.clone()))
             }
--- a/crates/edge/src/segment.rs
+++ b/crates/edge/src/segment.rs
@@ -15,6 +15,7 @@
 
 use crate::config::Name;
 use crate::directory::LeafEntry;
+use crate::plan::PlanId;
 
 /// Shards per segment for each core of the nodes that serve it.
 const SHARDS_PER_CORE: f64 = 48.0;
@@ -55,27 +56,28 @@
     pub cores: f64,
 }
 
-/// `SegmentCall` asks a node for one segment of a query.
+/// `SegmentCall` asks a node for one segment of a query. It belongs to a plan and to no path: the node that is asked
+/// runs that plan or nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SegmentCall {
+    /// Plan of the query.
+    pub plan: PlanId,
+    /// Version of the configuration of the node that asks, for the log.
+    pub version: u64,
     /// Index of the segment, from 0.
     pub index: usize,
     /// Number of segments of the query.
     pub count: usize,
-    /// Digest of the query's shards: both nodes must know the same shards.
-    pub digest: u64,
     /// Time until the answer is due, complete or not.
     pub timeout: Duration,
 }
 
 impl SegmentCall {
-    /// Returns the range of a query's shards that the segment covers, or `None` if it belongs to other
-    /// shards.
-    pub fn range(&self, shards: &[Name]) -> Option<Range<usize>> {
-        let belongs = self.digest == shards_digest(shards)
-            && self.count <= shards.len()
-            && self.index < self.count;
-        belongs.then(|| segment_range(self.index, self.count, shards.len()))
+    /// Returns the range of the plan's shards that the segment covers, or `None` if a plan with this number of shards
+    /// has no such segment.
+    pub fn range(&self, shards: usize) -> Option<Range<usize>> {
+        let exists = self.count <= shards && self.index < self.count;
+        exists.then(|| segment_range(self.index, self.count, shards))
     }
 }
 
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -99,7 +99,7 @@
 pub fn success(body: &str) -> CallOutcome {
     CallOutcome::Answer(Answer {
         status: 200,
-        signature: Some(Bytes::from(format!("stamp-{body}"))),
+        signature: Bytes::from(format!("stamp-{body}")),
         body: Bytes::from(format!("{body:016}")),
         ..Answer::default()
     })
@@ -109,7 +109,7 @@
 pub fn failure() -> CallOutcome {
     CallOutcome::Answer(Answer {
         status: 500,
-        signature: Some(Bytes::from_static(b"stamp")),
+        signature: Bytes::from_static(b"stamp"),
         ..Answer::default()
     })
 }
@@ -243,7 +243,6 @@
                 path: &path,
                 timeout: Some(timeout),
                 is_first: false,
-                segment: None,
             };
             edge.request(&head, now, out);
         });
--- a/crates/edge/tests/segments.rs
+++ b/crates/edge/tests/segments.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{HOST, Node, config, fan_out_route, leaf, shard, success};
+use common::{Node, config, fan_out_route, leaf, service_route, shard, success};
 use monsoondeal_edge::{
-    Answer, CallOutcome, EdgeSettings, LeafCall, LeafEntry, Name, Peer, Reply, RequestEvent,
-    RequestHead, SegmentCall, Token,
+    CallOutcome, Config, EdgeSettings, Gather, LeafCall, LeafEntry, Name, Peer, Repeat, Reply,
+    RequestEvent, Route, SegmentAnswer, SegmentCall, SegmentHead, Target, Token,
 };
 use rstest::rstest;
 
@@ -44,11 +44,10 @@
 /// Returns the answer of a node that served `parts` of the shards of a segment.
 fn segment_answer(segment: &SegmentCall, parts: usize) -> CallOutcome {
     let signature = |index| Bytes::from(format!("{}-{index}", segment.index));
-    CallOutcome::Answer(Answer {
-        status: 200,
-        part_signatures: (0..parts).map(signature).collect(),
+    CallOutcome::Segment(SegmentAnswer {
+        signatures: (0..parts).map(signature).collect(),
         body: Bytes::from_static(&[7; 16]),
-        ..Answer::default()
+        setup_micros: 0,
     })
 }
 
@@ -110,11 +109,10 @@
     let mut called: Vec<Vec<SocketAddr>> = vec![Vec::new(); SHARDS];
     for _ in 0..60 {
         node.request("q");
-        let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
         let mut covered = vec![0; SHARDS];
         for call in node.calls.clone() {
             let segment = segment_of(&call);
-            for index in segment.range(&shards).expect("the shards match the digest") {
+            for index in segment.range(SHARDS).expect("the segment exists") {
                 covered[index] += 1;
                 called[index].push(call.addr);
             }
@@ -184,13 +182,9 @@
 fn segments_coverage_counts_missing_parts(#[case] missing: usize, #[case] expected: Option<usize>) {
     let mut node = node(70);
     let token = node.request("q");
-    let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
     for (index, call) in node.calls.clone().into_iter().enumerate() {
         let segment = segment_of(&call);
-        let shard_count = segment
-            .range(&shards)
-            .expect("the shards match the digest")
-            .len();
+        let shard_count = segment.range(SHARDS).expect("the segment exists").len();
         let parts = if index == 0 {
             shard_count - missing
         } else {
@@ -241,16 +235,13 @@
     #[case] missing: usize,
 ) {
     let mut node = node(70);
-    let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
     node.request("q");
     let requested = segment_of(&node.calls[1]);
     node.calls.clear();
 
     let token = Token(1_000);
     request_segment(&mut node, token, requested);
-    let range = requested
-        .range(&shards)
-        .expect("the shards match the digest");
+    let range = requested.range(SHARDS).expect("the segment exists");
     assert_eq!(node.calls.len(), range.len());
     let silent = shard(range.start);
     node.answer_all_except(|name| first_answers == 0 && name.starts_with(&format!("{silent}-")));
@@ -283,15 +274,12 @@
     #[case] in_time: bool,
 ) {
     let mut node = node(70);
-    let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
     node.request("q");
     let requested = segment_of(&node.calls[1]);
     node.calls.clear();
     let token = Token(1_000);
     request_segment(&mut node, token, requested);
-    let range = requested
-        .range(&shards)
-        .expect("the shards match the digest");
+    let range = requested.range(SHARDS).expect("the segment exists");
     let silent: Vec<String> = range
         .take(silent_shards)
         .map(|index| format!("{}-", shard(index)))
@@ -322,11 +310,7 @@
     let mut node = node(70);
     node.request("q");
     let requested = segment_of(&node.calls[0]);
-    let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
-    let first = requested
-        .range(&shards)
-        .expect("the shards match the digest")
-        .start;
+    let first = requested.range(SHARDS).expect("the segment exists").start;
     node.calls.clear();
     for index in 0..4 {
         request_segment(&mut node, Token(1_000 + index), requested);
@@ -338,18 +322,114 @@
     assert!(hedges >= 2, "{hedges} hedges");
 }
 
-/// All parts of an answer must come from the same configuration, so a call for a segment of other shards is rejected
-/// as not run.
-#[test]
-fn segment_of_another_configuration_is_rejected() {
+/// All parts of an answer must come from the same configuration, so a call for a segment of a plan that is not in force
+/// is rejected as not run, whatever of the plan has changed.
+#[rstest]
+#[case::shards(|route: &mut Route| *route = fan_out_route("q", SHARDS - 1, 0.9), false)]
+#[case::records(|route: &mut Route| gather(route).top_k += 1, false)]
+#[case::coverage(|route: &mut Route| gather(route).min_coverage = 0.8, false)]
+#[case::attempts(|route: &mut Route| route.attempts += 1, false)]
+#[case::name(|route: &mut Route| route.name = Name::from("other"), false)]
+#[case::service(|route: &mut Route| route.target = Target::Service(shard(0)), false)]
+#[case::order(
+    |route: &mut Route| *route = service_route("q", &shard(0), Repeat::AtMostOnce),
+    false
+)]
+#[case::split(|route: &mut Route| route.target = Target::Split(vec![(shard(0), 1.0)]), false)]
+#[case::path(|route: &mut Route| route.prefix = "/other/".to_owned(), true)]
+#[case::timeout(|route: &mut Route| route.timeout *= 2, true)]
+fn segment_is_run_only_under_its_plan(#[case] change: fn(&mut Route), #[case] is_run: bool) {
     let mut node = node(70);
     node.request("q");
     let requested = segment_of(&node.calls[0]);
-    let next = config(2, vec![fan_out_route("q", SHARDS - 1, 0.9)], 30);
-    assert!(node.edge.set_config(next));
+    node.calls.clear();
+    let mut route = fan_out_route("q", SHARDS, 0.9);
+    change(&mut route);
+    assert!(node.edge.set_config(config(2, vec![route], 30)));
     let token = Token(1_000);
     request_segment(&mut node, token, requested);
-    assert!(matches!(node.reply(token), Some(Reply::Rejected { .. })));
+    assert_eq!(!node.calls.is_empty(), is_run);
+    let is_rejected = matches!(node.reply(token), Some(Reply::Rejected { .. }));
+    assert_eq!(is_rejected, !is_run, "{:?}", node.reply(token));
+    let is_unknown = |event: &RequestEvent| matches!(event, RequestEvent::UnknownPlan { .. });
+    assert_eq!(node.events.iter().any(is_unknown), !is_run);
+}
+
+/// A plan is found by its identity, also where another route has the path of the query.
+#[test]
+fn segment_is_not_routed_by_path() {
+    let mut node = node(70);
+    node.request("q");
+    let requested = segment_of(&node.calls[0]);
+    node.calls.clear();
+    let mut moved = fan_out_route("q", SHARDS, 0.9);
+    moved.prefix = "/moved/".to_owned();
+    let order = service_route("order", "ledger", Repeat::AtMostOnce);
+    let in_place = Route {
+        prefix: "/q/".to_owned(),
+        ..order
+    };
+    assert!(node.edge.set_config(config(2, vec![moved, in_place], 30)));
+    request_segment(&mut node, Token(1_000), requested);
+    let range = requested.range(SHARDS).expect("the segment exists");
+    assert_eq!(node.calls.len(), range.len());
+}
+
+/// The deserialized form of a configuration, as nodes hand it to each other, has the plans of the original.
+#[test]
+fn segment_plan_survives_serialization() {
+    let mut node = node(70);
+    node.request("q");
+    let requested = segment_of(&node.calls[0]);
+    node.calls.clear();
+    let next = config(2, vec![fan_out_route("q", SHARDS, 0.9)], 30);
+    let text = serde_json::to_string(&next).expect("serializable");
+    let next: Config = serde_json::from_str(&text).expect("the same form");
+    assert!(node.edge.set_config(next));
+    request_segment(&mut node, Token(1_000), requested);
+    assert!(!node.calls.is_empty());
+}
+
+/// Segments that a plan does not have are rejected.
+#[rstest]
+#[case::index(usize::MAX, 1)]
+#[case::no_segments(0, 0)]
+#[case::more_segments_than_shards(0, SHARDS + 1)]
+fn segment_outside_its_plan_is_rejected(#[case] index: usize, #[case] count: usize) {
+    let mut node = node(70);
+    node.request("q");
+    let requested = SegmentCall {
+        index,
+        count,
+        ..segment_of(&node.calls[0])
+    };
+    node.calls.clear();
+    request_segment(&mut node, Token(1_000), requested);
+    let reply = node.reply(Token(1_000));
+    assert!(matches!(reply, Some(Reply::Rejected { .. })), "{reply:?}");
+    assert!(node.calls.is_empty());
+}
+
+/// An answer with more parts than its segment has shards is no answer to the call.
+#[test]
+fn segment_answer_with_too_many_parts_is_not_used() {
+    let mut node = node(70);
+    let token = node.request("q");
+    for (index, call) in node.calls.clone().into_iter().enumerate() {
+        let segment = segment_of(&call);
+        let shards = segment.range(SHARDS).expect("the segment exists").len();
+        let extra = usize::from(index == 0);
+        node.end_call(call.call, segment_answer(&segment, shards + extra));
+    }
+    let reply = node.reply(token);
+    assert!(matches!(reply, Some(Reply::Failed(_))), "{reply:?}");
+}
+
+fn gather(route: &mut Route) -> &mut Gather {
+    match &mut route.target {
+        Target::FanOut(_, gather) => gather,
+        other => panic!("{other:?}"),
+    }
 }
 
 /// Only the node that serves a segment counts its request for the budget for repeats, not the nodes that rejected it
@@ -375,9 +455,7 @@
         assert!(matches!(reply, Some(Reply::Rejected { .. })), "{reply:?}");
     }
     let shards: Vec<Name> = (0..SHARDS).map(shard).collect();
-    let covered = &shards[requested
-        .range(&shards)
-        .expect("the shards match the digest")];
+    let covered = &shards[requested.range(SHARDS).expect("the segment exists")];
     let leafs = covered.iter().flat_map(|service| {
         ["a", "b"].map(|replica| leaf(&format!("{service}-{replica}"), service))
     });
@@ -394,14 +472,11 @@
 
 fn request_segment(node: &mut Node, token: Token, segment: SegmentCall) {
     node.apply(|edge, now, out| {
-        let head = RequestHead {
+        let head = SegmentHead {
             token,
-            host: HOST,
-            path: "/q/x",
+            call: segment,
             timeout: Some(Duration::from_secs(2)),
-            is_first: false,
-            segment: Some(segment),
         };
-        edge.request(&head, now, out);
+        edge.segment(&head, now, out);
     });
 }
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -309,7 +309,6 @@
         path: "/q/",
         timeout: None,
         is_first: false,
-        segment: None,
     };
     unconfigured.request(&head, node.now, &mut out);
     assert!(matches!(
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -21,7 +21,7 @@
 ];
 
 /// All counters.
-pub(crate) const COUNTERS: [Counter<MetricValues>; 22] = [
+pub(crate) const COUNTERS: [Counter<MetricValues>; 23] = [
     ("requests", "Requests of callers", |v| v.counts.requests),
     ("answered", "Requests answered in full", |v| {
         v.counts.answered
@@ -41,6 +41,11 @@
     ("no_route", "Requests without a route", |v| {
         v.counts.no_route
     }),
+    (
+        "unknown_plans",
+        "Segments asked for by nodes with another configuration, not run",
+        |v| v.counts.unknown_plans,
+    ),
     ("left", "Requests whose caller left", |v| v.counts.left),
     ("calls", "Calls sent to leafs", |v| v.counts.calls),
     ("hedges", "Hedged calls among them", |v| v.counts.hedges),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -90,13 +90,23 @@
     pub(crate) uri: Uri,
     /// Header fields that are forwarded to leafs.
     pub(crate) headers: HeaderMap,
+    /// Host that the caller named.
     pub(crate) host: String,
     pub(crate) timeout: Option<std::time::Duration>,
     pub(crate) body: Bytes,
-    /// Whether this is the first request on its connection.
-    pub(crate) is_first: bool,
-    /// Set if another node requests a segment of a query.
-    pub(crate) segment: Option<SegmentCall>,
+    pub(crate) purpose: Purpose,
+}
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// A caller's request, which is routed by its host and path.
+    Caller {
+        /// Whether this is the first request on its connection.
+        is_first: bool,
+    },
+    /// Another node asks for a segment of a query, which is routed by its plan.
+    Segment(SegmentCall),
 }
 
 /// A message to the hub.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -20,13 +20,13 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use monsoondeal_edge::{Answer, Limits, Reply, Token};
 use monsoondeal_node::ask::ask_or_cancel;
 use monsoondeal_node::open_guard::OpenGuard;
 use monsoondeal_node::stream::Stream;
 
-use crate::event::{Event, EventSender, InboundRequest};
+use crate::event::{Event, EventSender, InboundRequest, Purpose};
 use crate::hub::stopping_reply;
 use crate::leafs::strip_connection_fields;
 use crate::segment;
@@ -37,6 +37,8 @@
 const MAX_HEADER_FIELDS: usize = 100;
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER: usize = 8 * 1024;
+/// `Retry-After` of segment calls in another form: other nodes may know it.
+const UNKNOWN_FORM_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Time between two checks of whether a connection has been idle for too long.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -255,6 +257,8 @@
     events: &EventSender,
 ) -> Response<Body> {
     let id = request.headers().get(&state.names.request_id).cloned();
+    let segment = request.headers().get(segment::SEGMENT_CALL).cloned();
+    let segment = segment.filter(|_| state.is_peer);
     let mut response = match read_request(request, is_first, state).await {
         Ok(inbound) => match submit(inbound, events).await {
             Some(reply) => respond(reply, state),
@@ -268,6 +272,11 @@
             .headers_mut()
             .insert(state.names.request_id.clone(), id);
     }
+    if let Some(segment) = segment {
+        response
+            .headers_mut()
+            .insert(segment::SEGMENT_CALL, segment);
+    }
     if state.is_stopping.get() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -307,10 +316,10 @@
         return Err(plain_text(StatusCode::BAD_REQUEST, &text));
     };
     let id = Bytes::copy_from_slice(id.as_bytes());
+    let purpose = read_purpose(&mut parts.headers, is_first, state)
+        .ok_or_else(|| reject_unknown_form(&id, state))?;
     let host =
         host(&parts).ok_or_else(|| plain_text(StatusCode::BAD_REQUEST, "no host is named"))?;
-    let segment = parts.headers.remove(segment::SEGMENT);
-    let segment = segment.filter(|_| state.is_peer);
     let timeout =
         caller_timeout(&parts, names).map_err(|text| plain_text(StatusCode::BAD_REQUEST, &text))?;
     if body.size_hint().lower() > limit as u64 {
@@ -337,11 +346,33 @@
         host,
         timeout,
         body,
-        is_first,
-        segment: segment.as_ref().and_then(segment::decode),
+        purpose,
     })
 }
 
+/// Returns what a request asks for. Other nodes may only ask for segments: `None` for any other request of theirs, and
+/// for a call in a form that this version of the program does not know.
+fn read_purpose(headers: &mut HeaderMap, is_first: bool, state: &FrontState) -> Option<Purpose> {
+    if state.is_peer {
+        return segment::take(headers).map(Purpose::Segment);
+    }
+    segment::strip(headers);
+    Some(Purpose::Caller { is_first })
+}
+
+/// Returns the response to a request of another node that is no segment call. It has not run.
+fn reject_unknown_form(id: &[u8], state: &FrontState) -> Response<Body> {
+    log::warn!(
+        id:% = String::from_utf8_lossy(id);
+        "request of another node rejected: not a segment call of this version"
+    );
+    let reply = Reply::Rejected {
+        reason: "not a segment call of this version",
+        retry_after: UNKNOWN_FORM_RETRY_AFTER,
+    };
+    respond(reply, state)
+}
+
 fn host(parts: &hyper::http::request::Parts) -> Option<String> {
     let named = parts
         .headers
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -14,7 +14,8 @@
 use futures_util::future::{Either, select};
 use monsoondeal_core::{CallId, Clock, LeafId, Time};
 use monsoondeal_edge::{
-    Action, CallOutcome, Edge, LeafCall, MovePost, Removal, Reply, RequestHead, Summary, Token,
+    Action, CallOutcome, Edge, LeafCall, MovePost, Removal, Reply, RequestHead, SegmentHead,
+    Summary, Token,
 };
 
 use monsoondeal_node::metrics::Metrics;
@@ -23,8 +24,8 @@
 use crate::counters::{self, MetricValues};
 use crate::error::GatewayError;
 use crate::event::{
-    Event, EventSender, InboundRequest, MoveCommand, MoveCommandSender, ReaderModeSender, Update,
-    send,
+    Event, EventSender, InboundRequest, MoveCommand, MoveCommandSender, Purpose, ReaderModeSender,
+    Update, send,
 };
 use crate::front::FrontState;
 use crate::leafs::{CallTask, Connection};
@@ -286,15 +287,27 @@
             sender,
         };
         self.requests.insert(inbound.token, pending);
-        let head = RequestHead {
-            token: inbound.token,
-            host: &inbound.host,
-            path: inbound.uri.path(),
-            timeout: inbound.timeout,
-            is_first: inbound.is_first,
-            segment: inbound.segment,
-        };
-        self.step(|edge, now, out| edge.request(&head, now, out));
+        let (token, timeout) = (inbound.token, inbound.timeout);
+        match inbound.purpose {
+            Purpose::Caller { is_first } => {
+                let head = RequestHead {
+                    token,
+                    host: &inbound.host,
+                    path: inbound.uri.path(),
+                    timeout,
+                    is_first,
+                };
+                self.step(|edge, now, out| edge.request(&head, now, out));
+            }
+            Purpose::Segment(call) => {
+                let head = SegmentHead {
+                    token,
+                    call,
+                    timeout,
+                };
+                self.step(|edge, now, out| edge.segment(&head, now, out));
+            }
+        }
     }
 
     fn on_update(&mut self, update: Update) {
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
-use monsoondeal_edge::{Answer, CallOutcome, LeafCall, LeafNotice};
+use monsoondeal_edge::{Answer, CallOutcome, LeafCall, LeafNotice, SegmentAnswer};
 use monsoondeal_node::client::{AnswerError, MAX_ANSWER_BYTES, Sender, handshake, read_body};
 
 use crate::dial;
@@ -162,8 +162,11 @@
     match sender.try_send_request(request).await {
         Ok(response) => {
             let (connection, mut outcome) = read_answer(sender, response, task).await;
-            if let CallOutcome::Answer(answer) = &mut outcome {
-                answer.setup_micros = u32::try_from(setup.as_micros()).unwrap_or(u32::MAX);
+            let micros = u32::try_from(setup.as_micros()).unwrap_or(u32::MAX);
+            match &mut outcome {
+                CallOutcome::Answer(answer) => answer.setup_micros = micros,
+                CallOutcome::Segment(answer) => answer.setup_micros = micros,
+                _ => {}
             }
             (connection, outcome)
         }
@@ -244,8 +247,8 @@
         names.deadline.clone(),
         remaining_timeout(call, Duration::ZERO)?,
     );
-    if let Some(call) = &call.segment {
-        headers.insert(segment::SEGMENT, segment::encode(call)?);
+    if let Some(segment) = &call.segment {
+        segment::insert(headers, &inbound.host, call, segment)?;
     } else {
         let instance = HeaderValue::from_str(&call.instance).ok()?;
         headers.insert(names.instance.clone(), instance);
@@ -285,26 +288,50 @@
     if headers.contains_key(&names.not_run) {
         return (connection, CallOutcome::Refused);
     }
-    let signature = headers.get(&names.signature).cloned();
-    let part_signatures = part_signatures(&headers, names);
-    if signature.is_none() && part_signatures.is_empty() {
-        return (None, CallOutcome::Broken);
-    }
     if headers.contains_key(CONTENT_ENCODING) {
         return (None, CallOutcome::Broken);
     }
-    let signature = signature.map(|signature| Bytes::copy_from_slice(signature.as_bytes()));
-    let mut headers = headers;
+    let outcome = match &task.call.segment {
+        Some(segment) => {
+            let is_own = segment::is_answer(&headers, &task.call, segment);
+            let served = is_own && status == StatusCode::OK;
+            served.then(|| segment_answer(&headers, body, names))
+        }
+        None => Some(leaf_answer(status, headers, body, names)),
+    };
+    match outcome.flatten() {
+        Some(outcome) => (connection, outcome),
+        None => (None, CallOutcome::Broken),
+    }
+}
+
+/// Returns a leaf's answer, which bears the leaf's signature.
+fn leaf_answer(
+    status: StatusCode,
+    mut headers: HeaderMap,
+    body: Bytes,
+    names: &HeaderNames,
+) -> Option<CallOutcome> {
+    let signature = headers.get(&names.signature)?;
+    let signature = Bytes::copy_from_slice(signature.as_bytes());
     strip_connection_fields(&mut headers);
-    let answer = Answer {
+    Some(CallOutcome::Answer(Answer {
         status: status.as_u16(),
         headers,
         signature,
-        part_signatures,
         body,
         setup_micros: 0,
-    };
-    (connection, CallOutcome::Answer(answer))
+    }))
+}
+
+/// Returns a node's answer to a call for a segment, which names the parts that it holds.
+fn segment_answer(headers: &HeaderMap, body: Bytes, names: &HeaderNames) -> Option<CallOutcome> {
+    let signatures = part_signatures(headers, names);
+    (!signatures.is_empty()).then_some(CallOutcome::Segment(SegmentAnswer {
+        signatures,
+        body,
+        setup_micros: 0,
+    }))
 }
 
 /// Returns whether an answer belongs to the call and comes from the intended leaf. Some answers do not repeat the
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -95,6 +95,16 @@
             } => {
                 log::info!(id, service:% = service, cause, repeat = is_repeat; "call retried");
             }
+            RequestEvent::UnknownPlan {
+                plan,
+                asked_version,
+                version,
+            } => {
+                log::info!(
+                    id, plan:% = plan, asked_config = asked_version, config = version;
+                    "segment of an unknown plan rejected"
+                );
+            }
             RequestEvent::Lost { service, cause } => {
                 log::info!(id, service:% = service, cause; "shard lost");
             }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -132,6 +132,8 @@
     pub front: SocketAddr,
     pub readiness: SocketAddr,
     pub admin: SocketAddr,
+    /// Address at which other nodes ask for segments of queries.
+    pub peers: SocketAddr,
     /// Address at which other nodes follow this one.
     pub updates: SocketAddr,
     /// Reader modes that the gateway has set, oldest first.
@@ -163,12 +165,13 @@
         F: FnOnce() -> Vec<Update> + Send + 'static,
     {
         let (front, readiness, admin) = (free_addr(), free_addr(), free_addr());
+        let peers = free_addr();
         let settings = GatewaySettings {
             front,
             readiness,
             ready_path: "/ready",
             admin,
-            peers: free_addr(),
+            peers,
             updates: follow_addr,
             headers: names(),
             edge: EdgeSettings {
@@ -219,6 +222,7 @@
             front,
             readiness,
             admin,
+            peers,
             updates: follow_addr,
             reader_modes,
             update_factories,
