--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -11,6 +11,7 @@
 use crate::leaf_notices::NoticeTaken;
 use crate::ledger_client::MovePost;
 use crate::plan::PlanId;
+use crate::proof::NotRun;
 use crate::segment::SegmentCall;
 use crate::version_moves::{MoveDecision, MoveReport};
 
@@ -78,23 +79,14 @@
 }
 
 /// `CallOutcome` is how a call to a leaf ended.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub enum CallOutcome {
     /// The leaf's complete answer arrived.
     Answer(Answer),
     /// The complete answer of a node to a call for a segment arrived.
     Segment(SegmentAnswer),
-    /// The leaf stated that it did not run the call.
-    Refused,
-    /// Another leaf answered at the address; the call did not run.
-    Misdirected,
-    /// Nothing of the call was written.
-    Unsent,
-    /// Nothing of the call was written: the process that accepted the connection did not report its name in
-    /// time.
-    Unchecked,
-    /// Nothing of the call was written: another leaf has the address.
-    Displaced,
+    /// The call has not run, which is proved.
+    NotRun(NotRun),
     /// The call may have run, but its answer was lost or is unusable.
     Broken,
     /// The call may have run, but its answer exceeded the size limit.
--- a/crates/edge/src/edge/call_outcome.rs
+++ b/crates/edge/src/edge/call_outcome.rs
@@ -10,6 +10,7 @@
 use crate::admission::LoadSignal;
 use crate::config::Name;
 use crate::ledger_client::CallRecord;
+use crate::proof::NotRunCause;
 use crate::request::ShardState;
 use crate::response_tracker::ResponseTracker;
 use crate::segment::is_segment;
@@ -109,29 +110,12 @@
                 shard.failure = Some(answer);
                 "failed"
             }
-            CallOutcome::Refused => {
-                shard.has_arrived = true;
-                shard.possible_runs -= 1;
-                request.refused += 1;
-                "refused"
-            }
-            CallOutcome::Misdirected => {
-                shard.has_arrived = true;
-                shard.possible_runs -= 1;
-                request.refused += 1;
-                "misdirected"
-            }
-            CallOutcome::Unsent => {
-                shard.possible_runs -= 1;
-                "unsent"
-            }
-            CallOutcome::Unchecked => {
-                shard.possible_runs -= 1;
-                "unchecked"
-            }
-            CallOutcome::Displaced => {
-                shard.possible_runs -= 1;
-                "displaced"
+            CallOutcome::NotRun(proof) => {
+                let cause = proof.cause();
+                shard.possible_runs.disprove(&proof);
+                shard.has_arrived |= cause.has_arrived();
+                request.refused += usize::from(cause.has_arrived());
+                cause.name()
             }
             CallOutcome::Broken => {
                 shard.has_arrived = true;
@@ -147,8 +131,8 @@
         }
         // A node that serves a segment may have used all attempts at its shards.
         let may_repeat = is_idempotent && !is_segment(&shard.service);
-        let may_run = shard.possible_runs == 0
-            || (may_repeat && shard.possible_runs < request.route.attempts);
+        let may_run = shard.possible_runs.is_none()
+            || (may_repeat && shard.possible_runs.count() < request.route.attempts);
         if !may_run || shard.calls_sent >= MAX_CALLS {
             self.lose_shard(call.token, call.shard, cause, out);
             return;
@@ -192,7 +176,8 @@
         };
         let shard = &mut request.shards[shard_index];
         let is_untried = |id: &LeafId| !shard.tried.contains(id);
-        if shard.possible_runs == 0 && !callable.is_empty() && !callable.iter().any(is_untried) {
+        if shard.possible_runs.is_none() && !callable.is_empty() && !callable.iter().any(is_untried)
+        {
             // All leafs refused; one of them may have capacity a moment later.
             shard.tried.clear();
             let pause = REFUSED_RETRY_DELAY * u32::try_from(shard.calls_sent).unwrap_or(1);
@@ -266,13 +251,12 @@
                 LeafFeedback::Success(tracker.slowness(response))
             }
             CallOutcome::Answer(_) | CallOutcome::Segment(_) => LeafFeedback::Failed,
-            CallOutcome::Refused => LeafFeedback::Refused,
-            CallOutcome::Misdirected
-            | CallOutcome::Unsent
-            | CallOutcome::Unchecked
-            | CallOutcome::Displaced
-            | CallOutcome::Broken
-            | CallOutcome::TooLarge => LeafFeedback::ConnectionLost,
+            CallOutcome::NotRun(proof) if proof.cause() == NotRunCause::Refused => {
+                LeafFeedback::Refused
+            }
+            CallOutcome::NotRun(_) | CallOutcome::Broken | CallOutcome::TooLarge => {
+                LeafFeedback::ConnectionLost
+            }
         }
     }
 
@@ -282,16 +266,19 @@
             self.directory.note_served(call.leaf, call.sent_at, now);
         }
         match outcome {
-            CallOutcome::Answer(_) | CallOutcome::Segment(_) | CallOutcome::Refused => {
+            CallOutcome::Answer(_) | CallOutcome::Segment(_) => {
                 self.directory.note_alive(call.leaf, call.sent_at)
             }
-            CallOutcome::Misdirected | CallOutcome::Displaced => {
-                self.directory.note_displaced(call.leaf, now)
-            }
-            CallOutcome::Unsent
-            | CallOutcome::Unchecked
-            | CallOutcome::Broken
-            | CallOutcome::TooLarge => {
+            CallOutcome::NotRun(proof) => match proof.cause() {
+                NotRunCause::Refused => self.directory.note_alive(call.leaf, call.sent_at),
+                NotRunCause::Misdirected | NotRunCause::Displaced => {
+                    self.directory.note_displaced(call.leaf, now)
+                }
+                NotRunCause::Unsent | NotRunCause::Unchecked => {
+                    self.directory.note_connection_loss(call.leaf)
+                }
+            },
+            CallOutcome::Broken | CallOutcome::TooLarge => {
                 self.directory.note_connection_loss(call.leaf);
             }
         }
@@ -308,16 +295,12 @@
         let failed = match outcome {
             CallOutcome::Answer(_) | CallOutcome::Segment(_) => Some(!outcome.is_success()),
             CallOutcome::Broken | CallOutcome::TooLarge => Some(true),
-            CallOutcome::Refused
-            | CallOutcome::Misdirected
-            | CallOutcome::Unsent
-            | CallOutcome::Unchecked
-            | CallOutcome::Displaced => None,
+            CallOutcome::NotRun(_) => None,
+        };
+        let has_arrived = match outcome {
+            CallOutcome::NotRun(proof) => proof.cause().has_arrived(),
+            _ => true,
         };
-        let has_arrived = !matches!(
-            outcome,
-            CallOutcome::Unsent | CallOutcome::Unchecked | CallOutcome::Displaced
-        );
         // A cold leaf is slow regardless of its version.
         let is_cold = self.directory.is_cold(call.leaf, now);
         let sample = failed.filter(|failed| *failed || !is_cold);
@@ -340,11 +323,13 @@
     pub(super) fn count_outcome(&mut self, outcome: &CallOutcome) {
         match outcome {
             CallOutcome::Answer(_) | CallOutcome::Segment(_) => {}
-            CallOutcome::Refused => self.counts.refused += 1,
-            CallOutcome::Misdirected => self.counts.misdirected += 1,
-            CallOutcome::Unsent => self.counts.unsent += 1,
-            CallOutcome::Unchecked => self.counts.unchecked += 1,
-            CallOutcome::Displaced => self.counts.displaced += 1,
+            CallOutcome::NotRun(proof) => match proof.cause() {
+                NotRunCause::Refused => self.counts.refused += 1,
+                NotRunCause::Misdirected => self.counts.misdirected += 1,
+                NotRunCause::Unsent => self.counts.unsent += 1,
+                NotRunCause::Unchecked => self.counts.unchecked += 1,
+                NotRunCause::Displaced => self.counts.displaced += 1,
+            },
             CallOutcome::Broken | CallOutcome::TooLarge => self.counts.broken += 1,
         }
     }
--- a/crates/edge/src/edge/dispatch.rs
+++ b/crates/edge/src/edge/dispatch.rs
@@ -174,7 +174,7 @@
             return;
         };
         let latest = request.received_at + request.route.objective.mul_f64(QUEUE_SHARE);
-        let may_wait = shard.possible_runs == 0 && return_at <= latest;
+        let may_wait = shard.possible_runs.is_none() && return_at <= latest;
         let Some(request) = self.pending.get_mut(&token) else {
             return;
         };
@@ -225,7 +225,7 @@
         shard.is_waiting = false;
         shard.tried.push(leaf);
         shard.open_calls.push(id);
-        shard.possible_runs += 1;
+        shard.possible_runs.add();
         shard.calls_sent += 1;
         shard.sent_at = now;
         shard.check_at = now + tracker.overdue_after();
--- a/crates/edge/src/edge/timers.rs
+++ b/crates/edge/src/edge/timers.rs
@@ -93,7 +93,7 @@
         let is_segment = is_segment(&shard.service);
         if !is_idempotent
             || is_segment
-            || shard.possible_runs >= attempts
+            || shard.possible_runs.count() >= attempts
             || shard.open_calls.len() > 1
         {
             shard.check_at = Time::MAX;
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -12,6 +12,7 @@
 use crate::config::{Gather, Name, Repeat, Route, Target};
 use crate::merge::top_records;
 use crate::plan::PlanId;
+use crate::proof::PossibleRuns;
 
 /// Share of the objective that is reserved for sending the response.
 const RESPONSE_RESERVE_SHARE: f64 = 0.05;
@@ -59,7 +60,7 @@
     /// Calls under way.
     pub(crate) open_calls: SmallVec<[CallId; 2]>,
     /// Number of leafs on which the request ran or may have run.
-    pub(crate) possible_runs: usize,
+    pub(crate) possible_runs: PossibleRuns,
     pub(crate) calls_sent: usize,
     /// Whether a call may have reached a leaf, so that any further call is a repeat.
     pub(crate) has_arrived: bool,
@@ -85,7 +86,7 @@
             state: ShardState::Open,
             tried: SmallVec::new(),
             open_calls: SmallVec::new(),
-            possible_runs: 0,
+            possible_runs: PossibleRuns::default(),
             calls_sent: 0,
             has_arrived: false,
             is_waiting: false,
@@ -218,7 +219,11 @@
 
     fn give_up_reply(&self, now: Time) -> Option<Reply> {
         self.give_up_at().filter(|at| *at <= now)?;
-        if self.shards.iter().any(|shard| shard.possible_runs > 0) {
+        if self
+            .shards
+            .iter()
+            .any(|shard| !shard.possible_runs.is_none())
+        {
             return Some(Reply::TimedOut);
         }
         Some(self.failure_reply("no leaf was free in time", now))
@@ -360,7 +365,11 @@
     /// Returns the reply to a request that cannot be served. It states that the request has not run only if
     /// no call can have run.
     fn failure_reply(&self, reason: &'static str, now: Time) -> Reply {
-        if self.shards.iter().any(|shard| shard.possible_runs > 0) {
+        if self
+            .shards
+            .iter()
+            .any(|shard| !shard.possible_runs.is_none())
+        {
             return Reply::Failed(reason);
         }
         let was_called = self.shards.iter().any(|shard| shard.calls_sent > 0);
--- a/crates/edge/tests/checks.rs
+++ b/crates/edge/tests/checks.rs
@@ -5,7 +5,10 @@
 
 use std::time::Duration;
 
-use common::{Node, config, failure, leaf, service_route, success};
+use common::{
+    Node, config, displaced, failure, leaf, misdirected, refused, service_route, success,
+    unchecked, unsent,
+};
 use monsoondeal_edge::{CallOutcome, EdgeSettings, LeafEntry, Name, Repeat, Reply};
 use rstest::rstest;
 
@@ -54,10 +57,10 @@
 #[rstest]
 #[case::answer(success("x"), true)]
 #[case::failure(failure(), true)]
-#[case::refused(CallOutcome::Refused, true)]
+#[case::refused(refused(), true)]
 #[case::broken(CallOutcome::Broken, false)]
-#[case::unsent(CallOutcome::Unsent, false)]
-#[case::unchecked(CallOutcome::Unchecked, false)]
+#[case::unsent(unsent(), false)]
+#[case::unchecked(unchecked(), false)]
 fn leaf_is_verified_by_its_latest_call(#[case] outcome: CallOutcome, #[case] expected: bool) {
     let mut node = node(&["a"]);
     complete_call(&mut node, success("x"));
@@ -89,8 +92,8 @@
 
 /// A call that was not sent is retried on another leaf even if there is no budget for repeats.
 #[rstest]
-#[case::displaced(CallOutcome::Displaced)]
-#[case::unchecked(CallOutcome::Unchecked)]
+#[case::displaced(displaced())]
+#[case::unchecked(unchecked())]
 fn unsent_call_is_not_charged_as_repeat(#[case] outcome: CallOutcome) {
     let mut node = node(&["a", "b"]);
     let token = node.request("r");
@@ -103,8 +106,8 @@
 }
 
 #[rstest]
-#[case::displaced(CallOutcome::Displaced)]
-#[case::misdirected(CallOutcome::Misdirected)]
+#[case::displaced(displaced())]
+#[case::misdirected(misdirected())]
 fn displaced_leaf_is_not_called_during_hold_time(#[case] outcome: CallOutcome) {
     let mut node = node(&["a"]);
     complete_call(&mut node, outcome);
@@ -124,7 +127,7 @@
 #[case::next_incarnation(2, true)]
 fn displaced_leaf_listed_again(#[case] born: u64, #[case] is_called: bool) {
     let mut node = node(&["a"]);
-    complete_call(&mut node, CallOutcome::Displaced);
+    complete_call(&mut node, displaced());
     let entry = LeafEntry {
         born,
         ..leaf("a", "s")
--- a/crates/edge/tests/common/load_simulation.rs
+++ b/crates/edge/tests/common/load_simulation.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use monsoondeal_core::{CallId, Time};
-use monsoondeal_edge::{CallOutcome, LeafEntry, LeafNotice, Name, Reply, Token};
+use monsoondeal_edge::{LeafEntry, LeafNotice, Name, Reply, Token};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::{Node, success};
+use super::{Node, refused, success, unsent};
 
 /// Step of the virtual time: a node learns of the end of a call at most this much late.
 const TIME_STEP: Duration = Duration::from_micros(500);
@@ -234,7 +234,7 @@
         };
         let node = &mut self.nodes[call.0];
         node.apply(|edge, now, out| edge.note_leaf((&Name::from(leaf), 1), notice, now, out));
-        node.end_call(call.1, CallOutcome::Refused);
+        node.end_call(call.1, refused());
     }
 
     fn advance(&mut self) {
@@ -279,14 +279,14 @@
         let leaf = self.leafs.get_mut(&name).expect("the leaf exists");
         match leaf.mode {
             LeafMode::PartlyShedding(share) if self.rng.random_bool(share) => {
-                return self.nodes[call.0].end_call(call.1, CallOutcome::Refused);
+                return self.nodes[call.0].end_call(call.1, refused());
             }
             LeafMode::Healthy | LeafMode::PartlyShedding(_) => {}
             LeafMode::Silent => return,
-            LeafMode::Shedding => return self.nodes[call.0].end_call(call.1, CallOutcome::Refused),
+            LeafMode::Shedding => return self.nodes[call.0].end_call(call.1, refused()),
             LeafMode::Resting(pause) => return self.refuse_for(call, &name, pause, now),
             LeafMode::Unreachable => {
-                return self.nodes[call.0].end_call(call.1, CallOutcome::Unsent);
+                return self.nodes[call.0].end_call(call.1, unsent());
             }
         }
         if leaf.running < profile.slots {
@@ -296,7 +296,7 @@
         } else if leaf.queue.len() < profile.max_queued {
             leaf.queue.push_back(call);
         } else {
-            self.nodes[call.0].end_call(call.1, CallOutcome::Refused);
+            self.nodes[call.0].end_call(call.1, refused());
         }
     }
 
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -11,9 +11,10 @@
 use bytes::Bytes;
 use monsoondeal_core::{CallId, Time};
 use monsoondeal_edge::{
-    Action, Answer, CallOutcome, Config, Edge, EdgeSettings, Gather, LeafCall, LeafEntry, Limits,
-    MoveDecision, MovePost, MoveReport, Name, NoticeTaken, Repeat, Reply, RequestEvent,
-    RequestHead, Route, Service, Summary, Target, Token,
+    Action, Answer, AnswerHead, Attribution, CallOutcome, Config, Edge, EdgeSettings, Exchanges,
+    Gather, LeafCall, LeafEntry, Limits, MoveDecision, MovePost, MoveReport, Name, NoticeTaken,
+    Repeat, Reply, RequestEvent, RequestHead, Route, Service, Summary, Target, Token,
+    UnwrittenCause, WriteMark,
 };
 use monsoondeal_moves::{Ledger, OrderKey, PostingReply};
 
@@ -114,6 +115,52 @@
     })
 }
 
+/// Returns the outcome of a call that its leaf answers with a head that states that it has not run.
+fn answered_not_run(status: u16, is_marked: bool) -> CallOutcome {
+    let mut exchanges = Exchanges::default();
+    exchanges.begin(b"id");
+    let head = AnswerHead {
+        status,
+        id: Some(b"id"),
+        is_marked,
+        is_signed: false,
+    };
+    let Attribution::Own(answer) = exchanges.attribute(b"id", head) else {
+        panic!("the answer belongs to the call");
+    };
+    CallOutcome::NotRun(answer.refusal().expect("a refusal"))
+}
+
+/// Returns the outcome of a call that its leaf refuses.
+pub fn refused() -> CallOutcome {
+    answered_not_run(503, true)
+}
+
+/// Returns the outcome of a call that arrives at another leaf.
+pub fn misdirected() -> CallOutcome {
+    answered_not_run(421, false)
+}
+
+fn unwritten(cause: UnwrittenCause) -> CallOutcome {
+    let proof = WriteMark::default().unwritten(cause);
+    CallOutcome::NotRun(proof.expect("nothing was written"))
+}
+
+/// Returns the outcome of a call that could not be sent.
+pub fn unsent() -> CallOutcome {
+    unwritten(UnwrittenCause::Unsent)
+}
+
+/// Returns the outcome of a call whose leaf did not report its name.
+pub fn unchecked() -> CallOutcome {
+    unwritten(UnwrittenCause::Unchecked)
+}
+
+/// Returns the outcome of a call whose address another leaf has.
+pub fn displaced() -> CallOutcome {
+    unwritten(UnwrittenCause::Displaced)
+}
+
 /// Applies a posting to a ledger, which is created if there is none yet, and returns the ledger's reply.
 pub fn apply_posting(ledger: &mut Option<Ledger>, post: &MovePost) -> PostingReply {
     let key = OrderKey {
--- a/crates/edge/tests/common/move_simulation.rs
+++ b/crates/edge/tests/common/move_simulation.rs
@@ -6,14 +6,12 @@
 use std::time::Duration;
 
 use monsoondeal_core::{CallId, Time};
-use monsoondeal_edge::{
-    CallOutcome, EdgeSettings, LeafEntry, MoveOrder, MovePost, MoveState, Name, Repeat,
-};
+use monsoondeal_edge::{EdgeSettings, LeafEntry, MoveOrder, MovePost, MoveState, Name, Repeat};
 use monsoondeal_moves::{Ledger, PostingReply};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::{Node, apply_posting, config, failure, leaf, service_route, success};
+use super::{Node, apply_posting, config, failure, leaf, service_route, success, unsent};
 
 /// Duration of the traffic to the old leafs alone, before the order, in milliseconds.
 const BASELINE_MS: i64 = 4_000;
@@ -381,7 +379,7 @@
             }
             let is_new = call.instance.starts_with("new");
             if !is_new && !self.has_old_leafs(t) {
-                self.nodes[index].end_call(call.call, CallOutcome::Unsent);
+                self.nodes[index].end_call(call.call, unsent());
                 continue;
             }
             let is_second = self.nodes[index].route_of(call.token) == "q";
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -5,11 +5,10 @@
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
-use common::{Node, config, failure, leaf, service_route, success};
+use common::{Node, config, failure, leaf, service_route, success, unsent};
 use monsoondeal_core::Time;
 use monsoondeal_edge::{
-    CallOutcome, Edge, EdgeSettings, LeafEntry, MoveCause, MoveOrder, MoveState, Name, Repeat,
-    Reply,
+    Edge, EdgeSettings, LeafEntry, MoveCause, MoveOrder, MoveState, Name, Repeat, Reply,
 };
 use monsoondeal_moves::{Posting, PostingReply, Ruling};
 use rstest::rstest;
@@ -355,7 +354,7 @@
     for _ in 0..200 {
         node.request("r");
         while let Some(call) = node.calls.first().cloned() {
-            node.end_call(call.call, CallOutcome::Unsent);
+            node.end_call(call.call, unsent());
         }
         node.run_for(REQUEST_INTERVAL);
     }
--- a/crates/edge/tests/notices.rs
+++ b/crates/edge/tests/notices.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use common::load_simulation::{LeafMode, LeafProfile, LoadSimulation};
-use common::{Node, config, failure, fan_out_route, leaf, service_route, shard, success};
+use common::{
+    Node, config, failure, fan_out_route, leaf, refused, service_route, shard, success, unsent,
+};
 use monsoondeal_core::CallId;
 use monsoondeal_edge::{
-    CallOutcome, EdgeSettings, LeafEntry, LeafNotice, MoveOrder, MoveState, Name, Repeat, Reply,
+    EdgeSettings, LeafEntry, LeafNotice, MoveOrder, MoveState, Name, Repeat, Reply,
 };
 use rstest::rstest;
 
@@ -198,7 +200,7 @@
     let (leaf, call) = (node.calls[0].instance.clone(), node.calls[0].call);
     say(&mut node, &leaf, notice);
     assert!(node.withheld.contains(&call));
-    node.end_call(call, CallOutcome::Unsent);
+    node.end_call(call, unsent());
     assert_eq!(node.calls.len(), 1);
     assert_ne!(node.calls[0].instance, leaf);
     node.answer_all_except(|_| false);
@@ -350,7 +352,7 @@
     node.request("r");
     rest(&mut node, "one", Duration::MAX);
     let probe = node.calls[0].call;
-    node.end_call(probe, CallOutcome::Refused);
+    node.end_call(probe, refused());
     node.run_for(PROBE_DELAY * 2);
     assert!(called(&mut node, 3).is_empty());
 }
@@ -387,7 +389,7 @@
     let token = node.request("r");
     rest(&mut node, "one", pause);
     let call = node.calls[0].call;
-    node.end_call(call, CallOutcome::Refused);
+    node.end_call(call, refused());
     let Some(Reply::Rejected { retry_after, .. }) = node.reply(token) else {
         panic!("{:?}", node.reply(token));
     };
--- a/crates/edge/tests/segments.rs
+++ b/crates/edge/tests/segments.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{Node, config, fan_out_route, leaf, service_route, shard, success};
+use common::{Node, config, fan_out_route, leaf, refused, service_route, shard, success, unsent};
 use monsoondeal_edge::{
     CallOutcome, Config, EdgeSettings, Gather, LeafCall, LeafEntry, Name, Peer, Repeat, Reply,
     RequestEvent, Route, SegmentAnswer, SegmentCall, SegmentHead, Target, Token,
@@ -212,8 +212,8 @@
 /// node. A call that has not run is.
 #[rstest]
 #[case::broken(CallOutcome::Broken, 0)]
-#[case::refused(CallOutcome::Refused, 1)]
-#[case::unsent(CallOutcome::Unsent, 1)]
+#[case::refused(refused(), 1)]
+#[case::unsent(unsent(), 1)]
 fn segments_call_is_retried_only_if_not_run(#[case] outcome: CallOutcome, #[case] repeats: usize) {
     let mut node = node(70);
     node.request("q");
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use common::{Node, config, failure, fan_out_route, leaf, service_route, shard, success};
+use common::{
+    Node, config, failure, fan_out_route, leaf, misdirected, refused, service_route, shard,
+    success, unsent,
+};
 use monsoondeal_edge::{CallOutcome, LeafEntry, Repeat, Reply, RequestEvent};
 use rstest::rstest;
 
@@ -153,9 +156,9 @@
 }
 
 #[rstest]
-#[case::refused(CallOutcome::Refused)]
-#[case::misdirected(CallOutcome::Misdirected)]
-#[case::unsent(CallOutcome::Unsent)]
+#[case::refused(refused())]
+#[case::misdirected(misdirected())]
+#[case::unsent(unsent())]
 fn at_most_once_call_not_run_is_retried_on_another_leaf(#[case] outcome: CallOutcome) {
     let mut node = service_node(Repeat::AtMostOnce);
     let token = node.request("r");
@@ -221,7 +224,7 @@
     let token = node.request("r");
     for _ in 0..100 {
         for call in node.calls.clone() {
-            node.end_call(call.call, CallOutcome::Refused);
+            node.end_call(call.call, refused());
         }
         node.run_for(Duration::from_millis(20));
     }
@@ -236,7 +239,7 @@
     let route = service_route("r", "s", Repeat::Idempotent);
     let mut node = Node::new(config(1, vec![route], 6), vec![leaf("one", "s")]);
     node.request("r");
-    node.end_call(node.calls[0].call, CallOutcome::Refused);
+    node.end_call(node.calls[0].call, refused());
     assert!(node.calls.is_empty(), "retried without delay");
     node.run_for(Duration::from_millis(20));
     assert_eq!(node.calls.len(), 1);
@@ -249,7 +252,7 @@
     let mut node = Node::new(config(1, vec![route], 6), vec![leaf("one", "s")]);
     let token = node.request("r");
     for _ in 0..2 {
-        node.end_call(node.calls[0].call, CallOutcome::Refused);
+        node.end_call(node.calls[0].call, refused());
         node.run_for(Duration::from_millis(50));
     }
     assert_eq!(node.calls.len(), 1);
@@ -258,18 +261,18 @@
 }
 
 #[rstest]
-#[case::lost(CallOutcome::Broken)]
-#[case::too_large(CallOutcome::TooLarge)]
-#[case::leaf_failed(failure())]
-fn idempotent_attempts_are_limited(#[case] outcome: CallOutcome) {
+#[case::lost(|| CallOutcome::Broken)]
+#[case::too_large(|| CallOutcome::TooLarge)]
+#[case::leaf_failed(failure)]
+fn idempotent_attempts_are_limited(#[case] outcome: fn() -> CallOutcome) {
     let mut node = service_node(Repeat::Idempotent);
     node.apply(|edge, now, out| edge.upsert_leaf(leaf("three", "s"), now, out));
     let token = node.request("r");
-    node.end_call(node.calls[0].call, outcome.clone());
+    node.end_call(node.calls[0].call, outcome());
     assert_eq!(node.calls.len(), 1, "one retry");
-    node.end_call(node.calls[0].call, outcome.clone());
+    node.end_call(node.calls[0].call, outcome());
     assert!(node.calls.is_empty(), "no retry after the last attempt");
-    match (outcome, node.reply(token)) {
+    match (outcome(), node.reply(token)) {
         (CallOutcome::Broken | CallOutcome::TooLarge, Some(Reply::Failed(_))) => {}
         (CallOutcome::Answer(sent), Some(Reply::Answer(answer))) => assert_eq!(sent, *answer),
         (_, reply) => panic!("{reply:?}"),
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct MetricValues {
     pub(crate) counts: Counts,
+    /// Connections to leafs that were closed since an answer could not be attributed to its call.
+    pub(crate) doubted: u64,
     /// How long ago the configuration was last confirmed to be the newest one.
     pub(crate) config_age: Option<Duration>,
 }
@@ -21,7 +23,7 @@
 ];
 
 /// All counters.
-pub(crate) const COUNTERS: [Counter<MetricValues>; 23] = [
+pub(crate) const COUNTERS: [Counter<MetricValues>; 24] = [
     ("requests", "Requests of callers", |v| v.counts.requests),
     ("answered", "Requests answered in full", |v| {
         v.counts.answered
@@ -41,6 +43,11 @@
     ("no_route", "Requests without a route", |v| {
         v.counts.no_route
     }),
+    (
+        "doubted_connections",
+        "Connections to leafs closed since an answer could not be attributed to its call",
+        |v| v.doubted,
+    ),
     (
         "unknown_plans",
         "Segments asked for by nodes with another configuration, not run",
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -15,7 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::leafs::Connection;
+use crate::leafs::ConnectionEnd;
 
 /// `Update` is a change of what the node knows about the configuration, the leafs, the version moves, the other
 /// nodes or the store.
@@ -117,8 +117,8 @@
     CallerGone(Token),
     /// A leaf, given by its name and start, said something about itself in an answer.
     LeafNotice(Name, u64, LeafNotice),
-    /// A call ended; its connection is included if it can be reused.
-    CallEnded(CallId, CallOutcome, Option<Connection>),
+    /// A call ended, and so did its connection or not.
+    CallEnded(CallId, CallOutcome, ConnectionEnd),
     Update(Update),
     /// A posting to the ledger of a version move ended, with the reply if it was written.
     PostEnded(Box<MovePost>, Option<PostingReply>),
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -14,8 +14,8 @@
 use futures_util::future::{Either, select};
 use monsoondeal_core::{CallId, Clock, LeafId, Time};
 use monsoondeal_edge::{
-    Action, CallOutcome, Edge, LeafCall, MovePost, Removal, Reply, RequestHead, SegmentHead,
-    Summary, Token,
+    Action, CallOutcome, Edge, LeafCall, MovePost, NotRunCause, Removal, Reply, RequestHead,
+    SegmentHead, Summary, Token, UnwrittenCause, WriteMark,
 };
 
 use monsoondeal_node::metrics::Metrics;
@@ -28,7 +28,7 @@
     Update, send,
 };
 use crate::front::FrontState;
-use crate::leafs::{CallTask, Connection};
+use crate::leafs::{CallTask, CloseCause, Connection, ConnectionEnd, take_idle};
 use crate::logs::{RequestLog, millis, outcome};
 use crate::relay::Relay;
 use crate::settings::{GatewaySettings, HeaderNames, StopSettings};
@@ -109,6 +109,7 @@
         config_confirmed: None,
         calls: HashMap::new(),
         idle: HashMap::new(),
+        doubted: 0,
         stop_settings: settings.stop,
         move_commands,
         stop_stage: StopStage::Running,
@@ -167,7 +168,7 @@
     leaf: LeafId,
     inbound: Rc<InboundRequest>,
     /// Whether any of the call may have been written.
-    is_written: Rc<Cell<bool>>,
+    write: WriteMark,
     /// Dropping the task closes the connection of the call.
     _task: JoinHandle<()>,
 }
@@ -188,6 +189,8 @@
     calls: HashMap<CallId, OpenCall>,
     /// Connections without a call, by leaf; the most recently used one is last.
     idle: HashMap<LeafId, Vec<Connection>>,
+    /// Number of connections to leafs that were closed since an answer could not be attributed to its call.
+    doubted: u64,
     stop_settings: StopSettings,
     move_commands: MoveCommandSender,
     stop_stage: StopStage,
@@ -243,9 +246,7 @@
             Event::CallEnded(call, outcome, connection) => {
                 if let Some(open_call) = self.calls.remove(&call) {
                     self.log_call_end(&open_call, &outcome);
-                    if let Some(connection) = connection {
-                        self.keep_connection(open_call.leaf, connection);
-                    }
+                    self.on_connection_end(&open_call, connection);
                 }
                 self.step(|edge, now, out| edge.call_ended(call, outcome, now, out));
             }
@@ -483,24 +484,21 @@
             return;
         };
         let (id, leaf) = (call.call, call.leaf);
-        let idle = self.idle.get_mut(&leaf).and_then(|list| {
-            list.retain(|connection| !connection.is_unusable());
-            let at = list.iter().rposition(|c| c.is_usable(call.at_most_once))?;
-            Some(list.remove(at))
-        });
         let inbound = pending.inbound.clone();
-        let is_written = Rc::new(Cell::new(false));
+        let idle = self.idle.get_mut(&leaf);
+        let idle = idle.and_then(|list| take_idle(list, &inbound.id, call.at_most_once));
+        let write = WriteMark::default();
         let task = CallTask {
             call,
             inbound: inbound.clone(),
             names: self.names.clone(),
             events: self.events.clone(),
-            is_written: is_written.clone(),
+            write: write.clone(),
         };
         let open_call = OpenCall {
             leaf,
             inbound,
-            is_written,
+            write,
             _task: spawn(leafs::run_call(idle, task)),
         };
         self.calls.insert(id, open_call);
@@ -508,14 +506,16 @@
 
     /// Ends a call as not sent if nothing of it has been written.
     fn withhold(&mut self, call: CallId) {
-        let is_unwritten = |open_call: &mut OpenCall| !open_call.is_written.get();
-        if self.calls.get_mut(&call).is_some_and(is_unwritten) {
-            self.calls.remove(&call);
-            send(
-                &self.events,
-                Event::CallEnded(call, CallOutcome::Unsent, None),
-            );
-        }
+        let open_call = self.calls.get(&call);
+        let proof = open_call.and_then(|open| open.write.unwritten(UnwrittenCause::Unsent));
+        let Some(proof) = proof else {
+            return;
+        };
+        // Ends the task, so that the call is not written any more.
+        self.calls.remove(&call);
+        let end = ConnectionEnd::Closed(CloseCause::Failed);
+        let event = Event::CallEnded(call, CallOutcome::NotRun(proof), end);
+        send(&self.events, event);
     }
 
     /// Logs the end of a call that found another leaf at the address.
@@ -524,16 +524,35 @@
             return;
         };
         let id = String::from_utf8_lossy(&open_call.inbound.id);
-        match outcome {
-            CallOutcome::Misdirected => self.request_log.misdirected(&id, intended),
-            CallOutcome::Displaced => self.request_log.displaced(&id, intended),
-            _ => {}
+        let CallOutcome::NotRun(proof) = outcome else {
+            return;
+        };
+        match proof.cause() {
+            NotRunCause::Misdirected => self.request_log.misdirected(&id, intended),
+            NotRunCause::Displaced => self.request_log.displaced(&id, intended),
+            NotRunCause::Refused | NotRunCause::Unsent | NotRunCause::Unchecked => {}
         }
     }
 
-    fn keep_connection(&mut self, leaf: LeafId, connection: Connection) {
-        if self.edge.directory().is_usable(leaf) {
-            self.idle.entry(leaf).or_default().push(connection);
+    /// Keeps the connection of a call that has ended, or logs why it had to be closed.
+    fn on_connection_end(&mut self, open_call: &OpenCall, end: ConnectionEnd) {
+        let leaf = open_call.leaf;
+        match end {
+            ConnectionEnd::Kept(connection) => {
+                if self.edge.directory().is_usable(leaf) {
+                    self.idle.entry(leaf).or_default().push(connection);
+                }
+            }
+            ConnectionEnd::Closed(cause) => {
+                let Some(doubt) = cause.doubt() else {
+                    return;
+                };
+                self.doubted += 1;
+                let id = String::from_utf8_lossy(&open_call.inbound.id);
+                if let Some(leaf) = self.edge.directory().entry(leaf) {
+                    self.request_log.connection_closed(&id, leaf, doubt);
+                }
+            }
         }
     }
 
@@ -556,6 +575,7 @@
     fn metric_values(&self) -> MetricValues {
         MetricValues {
             counts: self.edge.counts(),
+            doubted: self.doubted,
             config_age: self.config_age(),
         }
     }
--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode, Uri};
-use monsoondeal_edge::{LeafCall, LeafNotice};
+use monsoondeal_edge::{AnswerHead, LeafCall, LeafNotice};
 use monsoondeal_node::client::{MAX_ANSWER_BYTES, Sender, read_body};
 
 use crate::notice::leaf_notice;
@@ -31,16 +31,28 @@
     Unknown,
 }
 
+/// `CheckEnd` is the result of an identity check.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct CheckEnd {
+    /// Which leaf is at the other end.
+    pub(crate) identity: Identity,
+    /// Whether a call may follow on the connection: a copy of the check's answer could not be taken for the call's.
+    pub(crate) may_call: bool,
+}
+
 /// Requests the name of the leaf at `path`, and compares it with the intended one.
 pub(crate) async fn identify(
     sender: &mut Sender,
     call: &LeafCall,
     path: &str,
     names: &HeaderNames,
-) -> Identity {
+) -> CheckEnd {
     let limit = call.timeout / CHECK_TIMEOUT_DIVISOR;
     let answer = timeout(limit, request_identity(sender, call, path, names)).await;
-    answer.ok().flatten().unwrap_or(Identity::Unknown)
+    answer.ok().flatten().unwrap_or(CheckEnd {
+        identity: Identity::Unknown,
+        may_call: false,
+    })
 }
 
 async fn request_identity(
@@ -48,7 +60,7 @@
     call: &LeafCall,
     path: &str,
     names: &HeaderNames,
-) -> Option<Identity> {
+) -> Option<CheckEnd> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse::<Uri>().ok()?;
     let headers = request.headers_mut();
@@ -63,17 +75,27 @@
     let response = sender.try_send_request(request).await.ok()?;
     let (parts, body) = response.into_parts();
     read_body(body, MAX_ANSWER_BYTES).await.ok()?;
-    if parts.status == StatusCode::MISDIRECTED_REQUEST {
-        return Some(Identity::Other);
+    let status = parts.status;
+    let head = AnswerHead {
+        status: status.as_u16(),
+        id: None,
+        is_marked: parts.headers.contains_key(&names.not_run),
+        is_signed: parts.headers.contains_key(&names.signature),
+    };
+    let may_call = !head.resembles_call_answer();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Some(CheckEnd {
+            identity: Identity::Other,
+            may_call,
+        });
     }
-    let notice = leaf_notice(parts.status, &parts.headers, names);
-    match parts.headers.get(&names.identity) {
-        Some(name) if name.as_bytes() == call.instance.as_bytes() => {
-            Some(Identity::Expected(notice))
-        }
-        Some(_) => Some(Identity::Other),
+    let notice = leaf_notice(status, &parts.headers, names);
+    let identity = match parts.headers.get(&names.identity) {
+        Some(name) if name.as_bytes() == call.instance.as_bytes() => Identity::Expected(notice),
+        Some(_) => Identity::Other,
         // Without a name the status decides: another leaf would have refused the request.
-        None if parts.status.is_success() => Some(Identity::Expected(notice)),
-        None => Some(Identity::Unnamed(notice)),
-    }
+        None if status.is_success() => Identity::Expected(notice),
+        None => Identity::Unnamed(notice),
+    };
+    Some(CheckEnd { identity, may_call })
 }
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -1,14 +1,17 @@
 //! Calls to leafs. Each call has a task of its own; between calls the hub keeps the connections.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
-use monsoondeal_edge::{Answer, CallOutcome, LeafCall, LeafNotice, SegmentAnswer};
+use monsoondeal_edge::{
+    Answer, AnswerHead, Attribution, CallOutcome, Exchanges, LeafCall, LeafNotice, NotRunCause,
+    OwnAnswer, SegmentAnswer, UnwrittenCause, WriteMark,
+};
 use monsoondeal_node::client::{AnswerError, MAX_ANSWER_BYTES, Sender, handshake, read_body};
 
 use crate::dial;
@@ -44,29 +47,93 @@
 /// `Connection` is an open connection to a leaf without a call on it.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: Sender,
+    link: Link,
     idle_since: Instant,
     idle_timeout: Duration,
 }
 
+/// The sending side of a connection, and what the connection has carried.
+#[derive(Debug)]
+struct Link {
+    sender: Sender,
+    exchanges: Exchanges,
+}
+
 impl Connection {
     /// Returns whether the connection may be used for a call.
-    pub(crate) fn is_usable(&self, at_most_once: bool) -> bool {
+    fn is_usable(&self, at_most_once: bool) -> bool {
         let idle = self.idle_since.elapsed();
         let limit = if at_most_once {
             self.idle_timeout.min(AT_MOST_ONCE_IDLE_TIMEOUT)
         } else {
             self.idle_timeout
         };
-        idle < limit && self.sender.is_ready()
+        idle < limit && self.link.sender.is_ready()
+    }
+}
+
+/// Takes a connection for a call of the request `id` out of those without a call.
+pub(crate) fn take_idle(
+    idle: &mut Vec<Connection>,
+    id: &[u8],
+    at_most_once: bool,
+) -> Option<Connection> {
+    idle.retain(|connection| connection.is_usable(false));
+    let may_carry = |connection: &Connection| connection.link.exchanges.may_carry(id);
+    let is_suitable = |c: &Connection| c.is_usable(at_most_once) && may_carry(c);
+    if let Some(at) = idle.iter().rposition(is_suitable) {
+        return Some(idle.remove(at));
+    }
+    // A new connection replaces one that has carried a call of the request: the leaf accepts only so many.
+    if let Some(at) = idle.iter().position(|connection| !may_carry(connection)) {
+        idle.remove(at);
     }
+    None
+}
+
+/// What became of the connection of a call that ended.
+#[derive(Debug)]
+pub(crate) enum ConnectionEnd {
+    /// It may be used again.
+    Kept(Connection),
+    /// It is closed.
+    Closed(CloseCause),
+}
+
+/// Why a connection to a leaf is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseCause {
+    /// It was not open, broke off, or brought something that is no usable answer.
+    Failed,
+    /// The leaf closes it.
+    Announced,
+    /// Another leaf is at the other end.
+    Misdirected,
+    /// The answer names another request.
+    Foreign,
+    /// The answer may be the copy of an earlier one.
+    Ambiguous,
+    /// The answer names no request, so a copy of it could be taken for the next answer.
+    Unnamed,
+}
 
-    /// Returns whether the connection can no longer be used for any call.
-    pub(crate) fn is_unusable(&self) -> bool {
-        !self.is_usable(false)
+impl CloseCause {
+    /// Returns the name for logs, if the leaf's answers gave reason for doubt.
+    pub(crate) fn doubt(self) -> Option<&'static str> {
+        match self {
+            Self::Failed | Self::Announced | Self::Misdirected => None,
+            Self::Foreign => Some("answer to another request"),
+            Self::Ambiguous => Some("answer may be a copy"),
+            Self::Unnamed => Some("answer names no request"),
+        }
     }
 }
 
+/// An outcome after which the connection is closed, or was never open.
+fn closed(outcome: CallOutcome) -> (ConnectionEnd, CallOutcome) {
+    (ConnectionEnd::Closed(CloseCause::Failed), outcome)
+}
+
 /// Removes the header fields that concern one connection only.
 pub(crate) fn strip_connection_fields(headers: &mut HeaderMap) {
     let listed: Vec<String> = headers
@@ -94,7 +161,7 @@
     pub(crate) names: Rc<HeaderNames>,
     pub(crate) events: EventSender,
     /// Whether any of the call may have been written; shared with the hub.
-    pub(crate) is_written: Rc<Cell<bool>>,
+    pub(crate) write: WriteMark,
 }
 
 impl CallTask {
@@ -109,6 +176,12 @@
             Event::LeafNotice(leaf, self.call.born, notice),
         );
     }
+
+    /// Returns the outcome of a call of which nothing was written, if that is so.
+    fn unwritten(&self, cause: UnwrittenCause) -> CallOutcome {
+        let proof = self.write.unwritten(cause);
+        proof.map_or(CallOutcome::Broken, CallOutcome::NotRun)
+    }
 }
 
 /// Runs a call and sends its outcome to the hub.
@@ -120,37 +193,26 @@
     );
 }
 
-async fn exchange(idle: Option<Connection>, task: &CallTask) -> (Option<Connection>, CallOutcome) {
+async fn exchange(idle: Option<Connection>, task: &CallTask) -> (ConnectionEnd, CallOutcome) {
     let started = Instant::now();
     let (call, names) = (&task.call, &task.names);
     let Some(mut request) = build_request(call, &task.inbound, names) else {
-        return (idle, CallOutcome::Unsent);
+        return closed(task.unwritten(UnwrittenCause::Unsent));
     };
     let mut is_verified = call.is_verified;
     // If the leaf has closed the idle connection, the request is returned unsent and sent on a new one.
-    if let Some(mut connection) = idle {
+    if let Some(connection) = idle {
         // A closed connection may mean that the leaf has ended since it was last verified.
         is_verified = false;
-        task.is_written.set(true);
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => return read_answer(connection.sender, response, task).await,
-            Err(mut error) => match error.take_message() {
-                Some(unsent) => {
-                    task.is_written.set(false);
-                    request = unsent;
-                }
-                None => {
-                    return (
-                        None,
-                        failure_outcome(&AnswerError::from_hyper(error.error())),
-                    );
-                }
-            },
+        match write(connection.link, request, task).await {
+            Ok((link, response)) => return read_answer(link, response, task).await,
+            Err(WriteError::Unwritten(unsent)) => request = *unsent,
+            Err(WriteError::Lost(error)) => return closed(failure_outcome(&error)),
         }
     }
-    let mut sender = match open_verified(task, is_verified).await {
-        Ok(sender) => sender,
-        Err(outcome) => return (None, outcome),
+    let link = match open_verified(task, is_verified).await {
+        Ok(link) => link,
+        Err(cause) => return closed(task.unwritten(cause)),
     };
     let setup = started.elapsed();
     if let Some(timeout) = remaining_timeout(call, setup) {
@@ -158,58 +220,80 @@
             .headers_mut()
             .insert(names.deadline.clone(), timeout);
     }
-    task.is_written.set(true);
-    match sender.try_send_request(request).await {
-        Ok(response) => {
-            let (connection, mut outcome) = read_answer(sender, response, task).await;
-            let micros = u32::try_from(setup.as_micros()).unwrap_or(u32::MAX);
-            match &mut outcome {
-                CallOutcome::Answer(answer) => answer.setup_micros = micros,
-                CallOutcome::Segment(answer) => answer.setup_micros = micros,
-                _ => {}
-            }
-            (connection, outcome)
-        }
+    let (link, response) = match write(link, request, task).await {
+        Ok(written) => written,
+        Err(WriteError::Unwritten(_)) => return closed(task.unwritten(UnwrittenCause::Unsent)),
+        Err(WriteError::Lost(error)) => return closed(failure_outcome(&error)),
+    };
+    let (connection, mut outcome) = read_answer(link, response, task).await;
+    let micros = u32::try_from(setup.as_micros()).unwrap_or(u32::MAX);
+    match &mut outcome {
+        CallOutcome::Answer(answer) => answer.setup_micros = micros,
+        CallOutcome::Segment(answer) => answer.setup_micros = micros,
+        _ => {}
+    }
+    (connection, outcome)
+}
+
+/// Why a call has no answer.
+enum WriteError {
+    /// The connection closed before anything of the call was written.
+    Unwritten(Box<Request<Full<Bytes>>>),
+    /// The call may have been written, but no head of an answer came.
+    Lost(AnswerError),
+}
+
+/// Writes a call on a connection and waits for the head of the answer.
+async fn write(
+    mut link: Link,
+    request: Request<Full<Bytes>>,
+    task: &CallTask,
+) -> Result<(Link, Response<Incoming>), WriteError> {
+    task.write.begin();
+    link.exchanges.begin(&task.inbound.id);
+    match link.sender.try_send_request(request).await {
+        Ok(response) => Ok((link, response)),
         Err(mut error) => match error.take_message() {
-            Some(_) => (None, CallOutcome::Unsent),
-            None => (
-                None,
-                failure_outcome(&AnswerError::from_hyper(error.error())),
-            ),
+            Some(unsent) => {
+                task.write.take_back(&unsent);
+                Err(WriteError::Unwritten(Box::new(unsent)))
+            }
+            None => Err(WriteError::Lost(AnswerError::from_hyper(error.error()))),
         },
     }
 }
 
 /// Opens a connection to the leaf that a call is intended for. Unless `is_verified`, the leaf's identity is
 /// checked first, where its service has a check path.
-async fn open_verified(task: &CallTask, is_verified: bool) -> Result<Sender, CallOutcome> {
+async fn open_verified(task: &CallTask, is_verified: bool) -> Result<Link, UnwrittenCause> {
     let call = &task.call;
-    let mut sender = open(call).await.ok_or(CallOutcome::Unsent)?;
+    let mut link = open(call).await.ok_or(UnwrittenCause::Unsent)?;
     let path = match &call.check_path {
         Some(path) if !is_verified => path,
-        _ => return Ok(sender),
+        _ => return Ok(link),
     };
-    match identify(&mut sender, call, path, &task.names).await {
+    let check = identify(&mut link.sender, call, path, &task.names).await;
+    match check.identity {
         Identity::Expected(notice) if notice.is_empty() => {}
         Identity::Expected(notice) => {
             task.report(notice);
-            return Err(CallOutcome::Unsent);
+            return Err(UnwrittenCause::Unsent);
         }
         Identity::Unnamed(notice) => {
             task.report(notice);
-            return Err(CallOutcome::Unchecked);
+            return Err(UnwrittenCause::Unchecked);
         }
-        Identity::Other => return Err(CallOutcome::Displaced),
-        Identity::Unknown => return Err(CallOutcome::Unchecked),
+        Identity::Other => return Err(UnwrittenCause::Displaced),
+        Identity::Unknown => return Err(UnwrittenCause::Unchecked),
     }
-    if sender.ready().await.is_ok() {
-        return Ok(sender);
+    if check.may_call && link.sender.ready().await.is_ok() {
+        return Ok(link);
     }
     // Some leafs close the connection after their answer.
-    open(call).await.ok_or(CallOutcome::Unsent)
+    open(call).await.ok_or(UnwrittenCause::Unsent)
 }
 
-async fn open(call: &LeafCall) -> Option<Sender> {
+async fn open(call: &LeafCall) -> Option<Link> {
     let limit = CONNECT_TIMEOUT.min(call.timeout);
     let stream = dial::connect(call.addr, limit).await.ok()?;
     // A cancelled call must not be delivered later, as additional load on the leaf.
@@ -223,7 +307,10 @@
         }
     })
     .detach();
-    Some(sender)
+    Some(Link {
+        sender,
+        exchanges: Exchanges::default(),
+    })
 }
 
 /// Returns the time in milliseconds left to the leaf for a call that began `elapsed` ago.
@@ -257,54 +344,79 @@
 }
 
 async fn read_answer(
-    sender: Sender,
-    response: Response<hyper::body::Incoming>,
+    link: Link,
+    response: Response<Incoming>,
     task: &CallTask,
-) -> (Option<Connection>, CallOutcome) {
+) -> (ConnectionEnd, CallOutcome) {
     let names = &task.names;
     let (parts, body) = response.into_parts();
     let (status, headers) = (parts.status, parts.headers);
-    if is_from_leaf(status, &headers, task) {
+    let head = AnswerHead {
+        status: status.as_u16(),
+        id: headers.get(&names.request_id).map(HeaderValue::as_bytes),
+        is_marked: headers.contains_key(&names.not_run),
+        is_signed: headers.contains_key(&names.signature),
+    };
+    let own = match link.exchanges.attribute(&task.inbound.id, head) {
+        Attribution::Own(own) => own,
+        Attribution::Foreign => {
+            let end = ConnectionEnd::Closed(CloseCause::Foreign);
+            return (end, CallOutcome::Broken);
+        }
+        Attribution::Ambiguous => {
+            let end = ConnectionEnd::Closed(CloseCause::Ambiguous);
+            return (end, CallOutcome::Broken);
+        }
+    };
+    if own.is_from_leaf() {
         task.report(leaf_notice(status, &headers, names));
     }
     let body = match read_body(body, MAX_ANSWER_BYTES).await {
         Ok(body) => body,
-        Err(error) => return (None, failure_outcome(&error)),
-    };
-    let echo = headers.get(&names.request_id);
-    if echo.is_some_and(|echo| echo.as_bytes() != task.inbound.id.as_ref()) {
-        log::warn!("a leaf answered with the identity of another request");
-        return (None, CallOutcome::Broken);
-    }
-    let connection = Connection {
-        idle_timeout: idle_timeout(&headers),
-        idle_since: Instant::now(),
-        sender,
+        Err(error) => return closed(failure_outcome(&error)),
     };
-    let connection = (!wants_close(&headers)).then_some(connection);
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return (None, CallOutcome::Misdirected);
-    }
-    if headers.contains_key(&names.not_run) {
-        return (connection, CallOutcome::Refused);
+    let end = connection_end(link, &headers, &own);
+    if let Some(proof) = own.refusal() {
+        let end = match proof.cause() {
+            NotRunCause::Misdirected => ConnectionEnd::Closed(CloseCause::Misdirected),
+            _ => end,
+        };
+        return (end, CallOutcome::NotRun(proof));
     }
     if headers.contains_key(CONTENT_ENCODING) {
-        return (None, CallOutcome::Broken);
+        return closed(CallOutcome::Broken);
     }
     let outcome = match &task.call.segment {
         Some(segment) => {
             let is_own = segment::is_answer(&headers, &task.call, segment);
-            let served = is_own && status == StatusCode::OK;
-            served.then(|| segment_answer(&headers, body, names))
+            let is_served = is_own && status == StatusCode::OK;
+            is_served
+                .then(|| segment_answer(&headers, body, names))
+                .flatten()
         }
-        None => Some(leaf_answer(status, headers, body, names)),
+        None => leaf_answer(status, headers, body, names),
     };
-    match outcome.flatten() {
-        Some(outcome) => (connection, outcome),
-        None => (None, CallOutcome::Broken),
+    match outcome {
+        Some(outcome) => (end, outcome),
+        None => closed(CallOutcome::Broken),
     }
 }
 
+/// Returns what becomes of a connection after a complete answer.
+fn connection_end(link: Link, headers: &HeaderMap, own: &OwnAnswer) -> ConnectionEnd {
+    if wants_close(headers) {
+        return ConnectionEnd::Closed(CloseCause::Announced);
+    }
+    if !own.is_named() {
+        return ConnectionEnd::Closed(CloseCause::Unnamed);
+    }
+    ConnectionEnd::Kept(Connection {
+        link,
+        idle_since: Instant::now(),
+        idle_timeout: idle_timeout(headers),
+    })
+}
+
 /// Returns a leaf's answer, which bears the leaf's signature.
 fn leaf_answer(
     status: StatusCode,
@@ -334,19 +446,6 @@
     }))
 }
 
-/// Returns whether an answer belongs to the call and comes from the intended leaf. Some answers do not repeat the
-/// identity of the request; they must bear another mark of a leaf.
-fn is_from_leaf(status: StatusCode, headers: &HeaderMap, task: &CallTask) -> bool {
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return false;
-    }
-    let names = &task.names;
-    match headers.get(&names.request_id) {
-        Some(echo) => echo.as_bytes() == task.inbound.id.as_ref(),
-        None => headers.contains_key(&names.signature) || headers.contains_key(&names.not_run),
-    }
-}
-
 /// Returns the outcome of a call whose answer did not arrive completely.
 fn failure_outcome(error: &AnswerError) -> CallOutcome {
     match error {
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -122,6 +122,18 @@
         );
     }
 
+    /// Logs why the connection of a call was closed: an answer on it could not be attributed to its call, or the next
+    /// one could not have been.
+    pub(crate) fn connection_closed(&mut self, id: &str, leaf: &LeafEntry, cause: &'static str) {
+        if !self.admit() {
+            return;
+        }
+        log::info!(
+            id, service:% = leaf.service, leaf:% = leaf.name, addr:% = leaf.addr, cause;
+            "connection to a leaf closed"
+        );
+    }
+
     /// Logs that the identity check found another leaf at the address of the intended one, so that the call
     /// was not sent.
     pub(crate) fn displaced(&mut self, id: &str, intended: &LeafEntry) {
