Answers under way are bounded together, not only one by one

What operators elsewhere saw: bytes without end from a leaf, a process out of memory, and the requests of others ended with it.

The smallest VM has 160 MB.

A body is collected in one buffer.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -11,8 +11,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct MetricValues {
     pub(crate) counts: Counts,
-    /// Connections to leafs that were closed since an answer could not be attributed to its call.
-    pub(crate) doubted: u64,
+    /// Connections to leafs that were closed for a fault of their answers.
+    pub(crate) faulty_ends: u64,
     /// How long ago the configuration was last confirmed to be the newest one.
     pub(crate) config_age: Option<Duration>,
 }
@@ -44,9 +44,9 @@
         v.counts.no_route
     }),
     (
-        "doubted_connections",
-        "Connections to leafs closed since an answer could not be attributed to its call",
-        |v| v.doubted,
+        "faulty_connections",
+        "Connections to leafs closed since answers could not be told apart or took too much memory",
+        |v| v.faulty_ends,
     ),
     (
         "unknown_plans",
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -18,6 +18,8 @@
     SegmentHead, Summary, Token, UnwrittenCause, WriteMark,
 };
 
+use monsoondeal_node::budget::ReadBudget;
+use monsoondeal_node::client::MAX_ANSWERS_BYTES;
 use monsoondeal_node::metrics::Metrics;
 use monsoondeal_node::signals::SignalReceiver;
 
@@ -111,7 +113,8 @@
         config_confirmed: None,
         calls: HashMap::new(),
         idle: HashMap::new(),
-        doubted: 0,
+        faulty_ends: 0,
+        answer_budget: ReadBudget::new(MAX_ANSWERS_BYTES),
         stop_settings: settings.stop,
         move_commands,
         stop_stage: StopStage::Running,
@@ -208,8 +211,10 @@
     calls: HashMap<CallId, OpenCall>,
     /// Connections without a call, by leaf; the most recently used one is last.
     idle: HashMap<LeafId, Vec<Connection>>,
-    /// Number of connections to leafs that were closed since an answer could not be attributed to its call.
-    doubted: u64,
+    /// Number of connections to leafs that were closed for a fault of their answers.
+    faulty_ends: u64,
+    /// Memory for the answers of all calls.
+    answer_budget: ReadBudget,
     stop_settings: StopSettings,
     move_commands: MoveCommandSender,
     stop_stage: StopStage,
@@ -512,6 +517,7 @@
             inbound: inbound.clone(),
             names: self.names.clone(),
             events: self.events.clone(),
+            budget: self.answer_budget.clone(),
             write: write.clone(),
         };
         let open_call = OpenCall {
@@ -563,13 +569,13 @@
                 }
             }
             ConnectionEnd::Closed(cause) => {
-                let Some(doubt) = cause.doubt() else {
+                let Some(name) = cause.log_name() else {
                     return;
                 };
-                self.doubted += 1;
+                self.faulty_ends += 1;
                 let id = String::from_utf8_lossy(&open_call.inbound.id);
                 if let Some(leaf) = self.edge.directory().entry(leaf) {
-                    self.request_log.connection_closed(&id, leaf, doubt);
+                    self.request_log.connection_closed(&id, leaf, name);
                 }
             }
         }
@@ -594,7 +600,7 @@
     fn metric_values(&self) -> MetricValues {
         MetricValues {
             counts: self.edge.counts(),
-            doubted: self.doubted,
+            faulty_ends: self.faulty_ends,
             config_age: self.config_age(),
         }
     }
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -12,7 +12,8 @@
     Answer, AnswerHead, Attribution, CallOutcome, Exchanges, LeafCall, LeafNotice, NotRunCause,
     OwnAnswer, SegmentAnswer, UnwrittenCause, WriteMark,
 };
-use monsoondeal_node::client::{AnswerError, MAX_ANSWER_BYTES, Sender, handshake, read_body};
+use monsoondeal_node::budget::{AnswerMemory, ReadBudget, ReadLimits};
+use monsoondeal_node::client::{AnswerError, MAX_ANSWER_BYTES, Sender, handshake, read_held_body};
 
 use crate::dial;
 use crate::event::{Event, EventSender, InboundRequest, send};
@@ -56,6 +57,8 @@
 #[derive(Debug)]
 struct Link {
     sender: Sender,
+    /// Counts the bytes of the answer under way.
+    memory: AnswerMemory,
     exchanges: Exchanges,
 }
 
@@ -115,16 +118,19 @@
     Ambiguous,
     /// The answer names no request, so a copy of it could be taken for the next answer.
     Unnamed,
+    /// The answers under way take too much memory together.
+    NoMemory,
 }
 
 impl CloseCause {
-    /// Returns the name for logs, if the leaf's answers gave reason for doubt.
-    pub(crate) fn doubt(self) -> Option<&'static str> {
+    /// Returns the name for logs, if the cause is one that no sound leaf gives.
+    pub(crate) fn log_name(self) -> Option<&'static str> {
         match self {
             Self::Failed | Self::Announced | Self::Misdirected => None,
             Self::Foreign => Some("answer to another request"),
             Self::Ambiguous => Some("answer may be a copy"),
             Self::Unnamed => Some("answer names no request"),
+            Self::NoMemory => Some("answers under way take too much memory"),
         }
     }
 }
@@ -160,6 +166,8 @@
     pub(crate) inbound: Rc<InboundRequest>,
     pub(crate) names: Rc<HeaderNames>,
     pub(crate) events: EventSender,
+    /// Memory for the answers of all calls.
+    pub(crate) budget: ReadBudget,
     /// Whether any of the call may have been written; shared with the hub.
     pub(crate) write: WriteMark,
 }
@@ -207,7 +215,7 @@
         match write(connection.link, request, task).await {
             Ok((link, response)) => return read_answer(link, response, task).await,
             Err(WriteError::Unwritten(unsent)) => request = *unsent,
-            Err(WriteError::Lost(error)) => return closed(failure_outcome(&error)),
+            Err(WriteError::Lost(error)) => return failed(&error),
         }
     }
     let link = match open_verified(task, is_verified).await {
@@ -223,7 +231,7 @@
     let (link, response) = match write(link, request, task).await {
         Ok(written) => written,
         Err(WriteError::Unwritten(_)) => return closed(task.unwritten(UnwrittenCause::Unsent)),
-        Err(WriteError::Lost(error)) => return closed(failure_outcome(&error)),
+        Err(WriteError::Lost(error)) => return failed(&error),
     };
     let (connection, mut outcome) = read_answer(link, response, task).await;
     let micros = u32::try_from(setup.as_micros()).unwrap_or(u32::MAX);
@@ -267,7 +275,9 @@
 /// checked first, where its service has a check path.
 async fn open_verified(task: &CallTask, is_verified: bool) -> Result<Link, UnwrittenCause> {
     let call = &task.call;
-    let mut link = open(call).await.ok_or(UnwrittenCause::Unsent)?;
+    let mut link = open(call, &task.budget)
+        .await
+        .ok_or(UnwrittenCause::Unsent)?;
     let path = match &call.check_path {
         Some(path) if !is_verified => path,
         _ => return Ok(link),
@@ -290,17 +300,22 @@
         return Ok(link);
     }
     // Some leafs close the connection after their answer.
-    open(call).await.ok_or(UnwrittenCause::Unsent)
+    open(call, &task.budget).await.ok_or(UnwrittenCause::Unsent)
 }
 
-async fn open(call: &LeafCall) -> Option<Link> {
+async fn open(call: &LeafCall, budget: &ReadBudget) -> Option<Link> {
     let limit = CONNECT_TIMEOUT.min(call.timeout);
     let stream = dial::connect(call.addr, limit).await.ok()?;
     // A cancelled call must not be delivered later, as additional load on the leaf.
     if let Err(error) = dial::reset_on_close(&stream) {
         log::warn!("cannot set a connection to a leaf to be reset on close: {error}");
     }
-    let (sender, connection) = handshake(stream, MAX_ANSWER_BYTES).await.ok()?;
+    let memory = AnswerMemory::new(Some(budget.clone()));
+    let limits = ReadLimits {
+        answer: MAX_ANSWER_BYTES,
+        memory: memory.clone(),
+    };
+    let (sender, connection) = handshake(stream, limits).await.ok()?;
     compio::runtime::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to a leaf ended: {error}");
@@ -309,6 +324,7 @@
     .detach();
     Some(Link {
         sender,
+        memory,
         exchanges: Exchanges::default(),
     })
 }
@@ -371,9 +387,9 @@
     if own.is_from_leaf() {
         task.report(leaf_notice(status, &headers, names));
     }
-    let body = match read_body(body, MAX_ANSWER_BYTES).await {
+    let body = match read_held_body(body, MAX_ANSWER_BYTES, &link.memory).await {
         Ok(body) => body,
-        Err(error) => return closed(failure_outcome(&error)),
+        Err(error) => return failed(&error),
     };
     let end = connection_end(link, &headers, &own);
     if let Some(proof) = own.refusal() {
@@ -446,11 +462,15 @@
     }))
 }
 
-/// Returns the outcome of a call whose answer did not arrive completely.
-fn failure_outcome(error: &AnswerError) -> CallOutcome {
+/// Returns the end of a call whose answer did not arrive completely.
+fn failed(error: &AnswerError) -> (ConnectionEnd, CallOutcome) {
     match error {
-        AnswerError::TooLarge => CallOutcome::TooLarge,
-        AnswerError::Broken(_) => CallOutcome::Broken,
+        AnswerError::TooLarge => closed(CallOutcome::TooLarge),
+        AnswerError::NoMemory => {
+            let end = ConnectionEnd::Closed(CloseCause::NoMemory);
+            (end, CallOutcome::TooLarge)
+        }
+        AnswerError::Broken(_) => closed(CallOutcome::Broken),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,7 +28,8 @@
     MoveCommand, MoveCommandSender, ReaderMode, ReaderModeSender, Update, UpdateSender,
 };
 pub use hub::run;
-pub use monsoondeal_node::client::{handshake, read_body};
+pub use monsoondeal_node::budget::{AnswerMemory, ReadBudget, ReadLimits, Reservation};
+pub use monsoondeal_node::client::{handshake, read_held_body};
 pub use monsoondeal_node::signals::{SignalReceiver, Signals};
 
 pub use settings::{GatewaySettings, HeaderNames, StopSettings};
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -5,18 +5,20 @@
 
 use std::error::Error;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compio::net::TcpStream;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use quick_error::quick_error;
 
-use crate::stream::{ReadLimitExceeded, Stream};
+use crate::budget::{AnswerMemory, ReadLimits, Reservation};
+use crate::stream::{ReadBudgetExceeded, ReadLimitExceeded, Stream};
 
-/// Maximum size of a leaf's answer with its head, in bytes: about thirty times the usual size, and small
-/// enough that a hundred endless answers at a time fit into the memory of a small VM.
+/// Maximum size of a leaf's answer with its head, in bytes: about thirty times the usual size.
 pub const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// Memory that the answers of all leafs may take together until they are used, in bytes, beyond 16 KiB for each.
+pub const MAX_ANSWERS_BYTES: usize = 32 * 1024 * 1024;
 /// Maximum size of the head of an answer, in bytes. The head of the answer for a segment of a query names
 /// each of its parts.
 pub const MAX_HEAD_BYTES: usize = 128 * 1024;
@@ -34,6 +36,10 @@
         TooLarge {
             display("the answer exceeds the size limit")
         }
+        /// The answers under way take too much memory together.
+        NoMemory {
+            display("the answers under way take too much memory")
+        }
         /// The answer is incomplete or malformed.
         Broken(text: String) {
             display("the answer is incomplete or malformed: {text}")
@@ -44,62 +50,106 @@
 impl AnswerError {
     /// Converts an error of the HTTP library.
     pub fn from_hyper(error: &hyper::Error) -> Self {
-        if error.is_parse_too_large() || is_size_limit_error(error) {
-            Self::TooLarge
-        } else {
-            Self::Broken(error.to_string())
+        if error.is_parse_too_large() {
+            return Self::TooLarge;
+        }
+        Self::from_sources(error)
+    }
+
+    /// Converts an error, of which a source may be an exceeded limit.
+    fn from_sources(error: &(dyn Error + 'static)) -> Self {
+        let mut next = Some(error);
+        while let Some(source) = next {
+            let io = source.downcast_ref::<std::io::Error>();
+            let inner = io.and_then(std::io::Error::get_ref);
+            if inner.is_some_and(|inner| inner.is::<ReadLimitExceeded>()) {
+                return Self::TooLarge;
+            }
+            if inner.is_some_and(|inner| inner.is::<ReadBudgetExceeded>()) {
+                return Self::NoMemory;
+            }
+            next = source.source();
         }
+        Self::Broken(error.to_string())
     }
 }
 
-/// Starts HTTP on an open connection, which then reads at most `limit` bytes for each request.
+/// Starts HTTP on an open connection, which then reads at most what `limits` allow for each request.
 ///
 /// # Errors
 ///
 /// If the HTTP library cannot set up the connection.
 pub async fn handshake(
     stream: TcpStream,
-    limit: usize,
+    limits: ReadLimits,
 ) -> hyper::Result<(Sender, Connection<Stream, Full<Bytes>>)> {
     Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADER_FIELDS)
-        .handshake(Stream::limited(stream, limit))
+        .handshake(Stream::limited(stream, limits))
         .await
 }
 
+/// The bytes of an answer, and the part of a budget that they take.
+struct HeldBytes {
+    bytes: BytesMut,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads the body of an answer on the connection that `memory` counts for. The body takes its part of the budget until
+/// it is dropped. `limit` is the limit of the connection, in bytes.
+///
+/// # Errors
+///
+/// As [`read_body`].
+pub async fn read_held_body(
+    body: Incoming,
+    limit: usize,
+    memory: &AnswerMemory,
+) -> Result<Bytes, AnswerError> {
+    let bytes = collect(body, limit).await?;
+    let reservation = memory.take();
+    if reservation.is_empty() {
+        return Ok(bytes.freeze());
+    }
+    Ok(Bytes::from_owner(HeldBytes {
+        bytes,
+        _reservation: reservation,
+    }))
+}
+
 /// Reads the body of an answer. `limit` is the limit of the connection, in bytes.
 ///
 /// # Errors
 ///
-/// If the answer is too large, incomplete or malformed.
+/// If the answer is too large, incomplete or malformed, or the answers under way take too much memory.
 pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, AnswerError> {
-    // A body that announces a length beyond the limit is not read at all.
-    if usize::try_from(body.size_hint().lower()).is_ok_and(|lower| lower <= limit) {
-        let body = Limited::new(body, limit).collect().await;
-        body.map(|body| body.to_bytes()).map_err(|error| {
-            match is_size_limit_error(error.as_ref()) {
-                true => AnswerError::TooLarge,
-                false => AnswerError::Broken(error.to_string()),
-            }
-        })
-    } else {
-        Err(AnswerError::TooLarge)
-    }
+    Ok(collect(body, limit).await?.freeze())
 }
 
-/// Returns whether an error, or one of its sources, is an exceeded size limit.
-fn is_size_limit_error(error: &(dyn Error + 'static)) -> bool {
-    let mut next = Some(error);
-    while let Some(error) = next {
-        let io = error.downcast_ref::<std::io::Error>();
-        let inner = io.and_then(std::io::Error::get_ref);
-        if error.is::<LengthLimitError>()
-            || inner.is_some_and(|inner| inner.is::<ReadLimitExceeded>())
-        {
-            return true;
+async fn collect(mut body: Incoming, limit: usize) -> Result<BytesMut, AnswerError> {
+    // A body that announces a length beyond the limit is not read at all.
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > limit {
+        return Err(AnswerError::TooLarge);
+    }
+    // Collected in one buffer: a body may come in chunks that are much smaller than their bookkeeping.
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| AnswerError::from_sources(&error))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if data.len() > limit - collected.len() {
+            return Err(AnswerError::TooLarge);
         }
-        next = error.source();
+        collected.extend_from_slice(&data);
     }
-    false
+    Ok(collected)
 }
--- a/crates/node/src/leafs.rs
+++ b/crates/node/src/leafs.rs
@@ -18,6 +18,7 @@
 use monsoondeal_engine::io::{LeafCall, LeafCallId, LeafOutcome};
 use serde_json::value::RawValue;
 
+use crate::budget::{AnswerMemory, ReadBudget, ReadLimits};
 use crate::client::{AnswerError, MAX_ANSWER_BYTES, Sender, handshake, read_body};
 use crate::event::{Event, EventSender, send};
 use crate::http::header;
@@ -26,7 +27,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Runs the calls to one leaf until the sender is dropped and all calls have ended.
-pub(crate) async fn serve(mut calls: mpsc::UnboundedReceiver<LeafCall>, events: EventSender) {
+pub(crate) async fn serve(
+    mut calls: mpsc::UnboundedReceiver<LeafCall>,
+    budget: ReadBudget,
+    events: EventSender,
+) {
     let mut idle: Vec<Sender> = Vec::new();
     let mut running = FuturesUnordered::new();
     loop {
@@ -34,7 +39,7 @@
             call = calls.next() => match call {
                 Some(call) => {
                     idle.retain(|c| !c.is_closed());
-                    running.push(run(idle.pop(), call, events.clone()));
+                    running.push(run(idle.pop(), call, &budget, events.clone()));
                 }
                 None => break,
             },
@@ -55,11 +60,12 @@
 async fn run(
     idle: Option<Sender>,
     call: LeafCall,
+    budget: &ReadBudget,
     events: EventSender,
 ) -> (Option<Sender>, LeafCallId, LeafOutcome) {
     let id = call.id;
     let call_timeout = call.timeout;
-    match timeout(call_timeout, exchange(idle, call, &events)).await {
+    match timeout(call_timeout, exchange(idle, call, budget, &events)).await {
         Ok((connection, outcome)) => (connection, id, outcome),
         Err(_) => (None, id, LeafOutcome::Broken),
     }
@@ -68,6 +74,7 @@
 async fn exchange(
     idle: Option<Sender>,
     call: LeafCall,
+    budget: &ReadBudget,
     events: &EventSender,
 ) -> (Option<Sender>, LeafOutcome) {
     let Some(mut request) = build_request(&call) else {
@@ -88,7 +95,7 @@
             },
         }
     }
-    let Some(mut connection) = connect(&call, events).await else {
+    let Some(mut connection) = connect(&call, budget, events).await else {
         return (None, LeafOutcome::NoConnection);
     };
     match connection.try_send_request(request).await {
@@ -103,13 +110,17 @@
     }
 }
 
-async fn connect(call: &LeafCall, events: &EventSender) -> Option<Sender> {
+async fn connect(call: &LeafCall, budget: &ReadBudget, events: &EventSender) -> Option<Sender> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(call.addr))
         .await
         .ok()?
         .ok()?;
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = handshake(stream, MAX_ANSWER_BYTES).await.ok()?;
+    let limits = ReadLimits {
+        answer: MAX_ANSWER_BYTES,
+        memory: AnswerMemory::new(Some(budget.clone())),
+    };
+    let (sender, connection) = handshake(stream, limits).await.ok()?;
     let (leaf, events) = (call.leaf, events.clone());
     compio::runtime::spawn(async move {
         let _ = connection.await;
@@ -155,7 +166,7 @@
 /// Returns the outcome of a call without a complete answer.
 fn failure_outcome(error: &AnswerError) -> LeafOutcome {
     match error {
-        AnswerError::TooLarge => LeafOutcome::TooLarge,
+        AnswerError::TooLarge | AnswerError::NoMemory => LeafOutcome::TooLarge,
         AnswerError::Broken(_) => LeafOutcome::Broken,
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod admin;
 pub mod ask;
+pub mod budget;
 mod callers;
 pub mod client;
 mod counters;
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -21,6 +21,7 @@
 use quick_error::quick_error;
 use rand::RngExt;
 
+use crate::budget::ReadLimits;
 use crate::client::{AnswerError, Sender, handshake, read_body};
 use crate::event::{Event, EventSender, send};
 
@@ -199,9 +200,11 @@
     async fn connect(&self) -> Result<Sender, StoreError> {
         let stream = TcpStream::connect(&self.host).await.map_err(unreachable)?;
         stream.set_nodelay(true).map_err(unreachable)?;
-        let (sender, connection) = handshake(stream, MAX_OBJECT_BYTES)
-            .await
-            .map_err(unreachable)?;
+        let limits = ReadLimits {
+            answer: MAX_OBJECT_BYTES,
+            ..ReadLimits::default()
+        };
+        let (sender, connection) = handshake(stream, limits).await.map_err(unreachable)?;
         compio::runtime::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to the store ended: {error}");
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -24,6 +24,8 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 
+use crate::budget::{AnswerMemory, ReadLimits};
+
 /// `ReadLimitExceeded` is the error of a read that exceeds the limit of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadLimitExceeded;
@@ -36,11 +38,24 @@
 
 impl Error for ReadLimitExceeded {}
 
+/// `ReadBudgetExceeded` is the error of a read for which the budget of all answers under way has nothing left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadBudgetExceeded;
+
+impl fmt::Display for ReadBudgetExceeded {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answers under way take too much memory")
+    }
+}
+
+impl Error for ReadBudgetExceeded {}
+
 /// The reason why a stream has stopped reading.
 #[derive(Clone, Copy, Debug)]
 enum ReadFailure {
     Io(io::ErrorKind),
     LimitExceeded,
+    BudgetExceeded,
 }
 
 impl From<ReadFailure> for io::Error {
@@ -48,6 +63,7 @@
         match failure {
             ReadFailure::Io(kind) => kind.into(),
             ReadFailure::LimitExceeded => Self::other(ReadLimitExceeded),
+            ReadFailure::BudgetExceeded => Self::other(ReadBudgetExceeded),
         }
     }
 }
@@ -60,18 +76,21 @@
     remaining: Cell<usize>,
     /// Bytes that may be read between two writes.
     limit: usize,
+    /// Counts the bytes read since the latest write against the bound on all answers.
+    memory: AnswerMemory,
 }
 
 impl ReadState {
     /// Subtracts read bytes from the bytes that may still be read.
     fn consume(&self, bytes: usize) -> io::Result<usize> {
-        match self.remaining.get().checked_sub(bytes) {
-            Some(remaining) => {
-                self.remaining.set(remaining);
-                Ok(bytes)
-            }
-            None => Err(self.fail(ReadFailure::LimitExceeded)),
+        let Some(remaining) = self.remaining.get().checked_sub(bytes) else {
+            return Err(self.fail(ReadFailure::LimitExceeded));
+        };
+        self.remaining.set(remaining);
+        if !self.memory.add(bytes) {
+            return Err(self.fail(ReadFailure::BudgetExceeded));
         }
+        Ok(bytes)
     }
 
     fn fail(&self, failure: ReadFailure) -> io::Error {
@@ -131,16 +150,18 @@
     /// Creates a stream over an open connection without a limit on the bytes read, for code that limits them
     /// itself.
     pub fn new(stream: TcpStream) -> Self {
-        Self::limited(stream, usize::MAX)
+        Self::limited(stream, ReadLimits::default())
     }
 
-    /// Creates a stream for the side that sends requests. It reads at most `limit` bytes after each write,
-    /// and fails with [`ReadLimitExceeded`] if there are more.
-    pub fn limited(stream: TcpStream, limit: usize) -> Self {
+    /// Creates a stream for the side that sends requests. It reads at most `limits.answer` bytes after each write,
+    /// and fails with [`ReadLimitExceeded`] if there are more. It fails with [`ReadBudgetExceeded`] if the bytes read
+    /// since the latest write do not fit into the budget of `limits.memory`.
+    pub fn limited(stream: TcpStream, limits: ReadLimits) -> Self {
         let state = Rc::new(ReadState {
             failure: Cell::new(None),
-            remaining: Cell::new(limit),
-            limit,
+            remaining: Cell::new(limits.answer),
+            limit: limits.answer,
+            memory: limits.memory,
         });
         let monitored = MonitoredStream {
             stream,
@@ -179,6 +200,7 @@
     ) -> Poll<io::Result<usize>> {
         // Each request permits another answer of up to the limit.
         self.state.remaining.set(self.state.limit);
+        drop(self.state.memory.take());
         Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
--- a/crates/node/tests/client.rs
+++ b/crates/node/tests/client.rs
@@ -7,6 +7,7 @@
 use compio::net::TcpStream;
 use http_body_util::Full;
 use hyper::Request;
+use monsoondeal_node::budget::ReadLimits;
 use monsoondeal_node::client::{AnswerError, Sender, handshake, read_body};
 use rstest::rstest;
 
@@ -80,7 +81,11 @@
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let stream = TcpStream::connect(addr).await.expect("a connection");
-        let (mut sender, connection) = handshake(stream, LIMIT).await.expect("a connection");
+        let limits = ReadLimits {
+            answer: LIMIT,
+            ..ReadLimits::default()
+        };
+        let (mut sender, connection) = handshake(stream, limits).await.expect("a connection");
         let task = compio::runtime::spawn(connection);
         if is_accepted {
             for _ in 0..REQUESTS {
--- a/programs/monsoondeal/tests/edge.rs
+++ b/programs/monsoondeal/tests/edge.rs
@@ -2,73 +2,22 @@
 
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
+mod process;
 
 use std::fs;
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::{
     config, leaf_entry, request_text, send_request, start_leaf, start_leaf_with, status, wait_until,
 };
-use soak::node::{NodeAddrs, SETTINGS_VARIABLE};
+use process::NodeProcess;
+use soak::node::SETTINGS_VARIABLE;
 use soak::store::FakeStore;
 
-/// A node process. It is killed when the test ends.
-struct NodeProcess {
-    child: Child,
-    addrs: NodeAddrs,
-    settings: PathBuf,
-}
-
-impl NodeProcess {
-    fn start(name: &str, store: &FakeStore) -> Self {
-        Self::start_with_logs(name, store, Stdio::null())
-    }
-
-    fn start_with_logs(name: &str, store: &FakeStore, logs: Stdio) -> Self {
-        let addrs = NodeAddrs::free();
-        let file = format!("monsoondeal-{name}-{}.conf", std::process::id());
-        let settings = std::env::temp_dir().join(file);
-        fs::write(&settings, addrs.settings(store.addr)).expect("a settings file");
-        let child = spawn(&settings, logs);
-        let process = Self {
-            child,
-            addrs,
-            settings,
-        };
-        wait_until("readiness", || process.addrs.is_ready());
-        process
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-s", name, &id]).status();
-        assert!(sent.expect("the kill command").success());
-    }
-}
-
-impl Drop for NodeProcess {
-    fn drop(&mut self) {
-        // The process may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = fs::remove_file(&self.settings);
-    }
-}
-
-fn spawn(settings: &PathBuf, logs: Stdio) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_monsoondeal"))
-        .arg("edge")
-        .env(SETTINGS_VARIABLE, settings)
-        .stdout(logs)
-        .spawn()
-        .expect("the program starts")
-}
-
 fn store_with_leaf(work: Duration) -> FakeStore {
     let store = FakeStore::start();
     store.put("servers", "i-1", leaf_entry(start_leaf(work), "s", "ready"));
@@ -81,7 +30,7 @@
 #[test]
 fn stop_aborts_no_request() {
     let store = store_with_leaf(Duration::from_millis(500));
-    let mut process = NodeProcess::start("stop", &store);
+    let mut process = NodeProcess::start("stop", store.addr);
     let front = process.addrs.front;
     let mut open_connection = TcpStream::connect(front).expect("a connection");
     let in_flight = thread::spawn(move || send_request(front, "/p/x"));
@@ -122,7 +71,7 @@
     });
     store.put("servers", "i-1", leaf_entry(leaf, "s", "ready"));
     store.put("config", "main", config(1, "/p/", "s"));
-    let mut process = NodeProcess::start("late", &store);
+    let mut process = NodeProcess::start("late", store.addr);
     let text = request_text("late", "/p/x", "");
     let (first_half, rest) = text.split_at(text.len() / 2);
     let mut late = TcpStream::connect(process.addrs.front).expect("a connection");
@@ -147,7 +96,7 @@
 #[test]
 fn stop_closes_idle_connections() {
     let store = store_with_leaf(Duration::ZERO);
-    let mut process = NodeProcess::start("idle", &store);
+    let mut process = NodeProcess::start("idle", store.addr);
     let mut idle = TcpStream::connect(process.addrs.front).expect("a connection");
     let stop_sent = Instant::now();
     process.signal("TERM");
@@ -164,7 +113,8 @@
 #[test]
 fn unread_logs_do_not_block_requests() {
     let store = store_with_leaf(Duration::ZERO);
-    let process = NodeProcess::start_with_logs("logs", &store, Stdio::piped());
+    let process = NodeProcess::start_with_logs("logs", store.addr, Stdio::piped());
+    process.wait_until_ready();
     for _ in 0..1_000 {
         assert_eq!(status(process.addrs.front, "/p/x"), 200);
     }
@@ -173,10 +123,10 @@
 #[test]
 fn restart_after_kill_serves_again() {
     let store = store_with_leaf(Duration::ZERO);
-    let mut process = NodeProcess::start("kill", &store);
+    let mut process = NodeProcess::start("kill", store.addr);
     process.signal("KILL");
     process.child.wait().expect("the process ends");
-    process.child = spawn(&process.settings, Stdio::null());
+    process.restart();
     let front = process.addrs.front;
     wait_until("service", || status(front, "/p/x") == 200);
 }
@@ -184,7 +134,7 @@
 #[test]
 fn reload_signal_does_not_interrupt_service() {
     let store = store_with_leaf(Duration::ZERO);
-    let process = NodeProcess::start("reload", &store);
+    let process = NodeProcess::start("reload", store.addr);
     for _ in 0..3 {
         process.signal("HUP");
         thread::sleep(Duration::from_millis(50));
