Segments: a leaf's answer does not stand for a segment in the state machine either

The tasks around the state machine already tell the two apart; now a test can see that the state machine does not rely on it (segment_answered_like_a_leaf_is_not_served).

--- a/crates/edge/src/edge/call_outcome.rs
+++ b/crates/edge/src/edge/call_outcome.rs
@@ -90,13 +90,16 @@
         let is_idempotent = request.is_idempotent();
         let elapsed = now.since(request.received_at);
         let shard = &mut request.shards[call.shard];
+        let is_segment = is_segment(&shard.service);
         let cause = match outcome {
-            CallOutcome::Answer(answer) if answer.is_success() => {
+            CallOutcome::Answer(answer) if answer.is_success() && !is_segment => {
                 shard.state = ShardState::Done(answer);
                 shard.response = Some(elapsed);
                 return;
             }
-            CallOutcome::Segment(answer) if answer.signatures.len() <= shard.weight => {
+            CallOutcome::Segment(answer)
+                if is_segment && answer.signatures.len() <= shard.weight =>
+            {
                 shard.state = ShardState::Gathered(answer);
                 shard.response = Some(elapsed);
                 return;
@@ -130,7 +133,7 @@
             return;
         }
         // A node that serves a segment may have used all attempts at its shards.
-        let may_repeat = is_idempotent && !is_segment(&shard.service);
+        let may_repeat = is_idempotent && !is_segment;
         let may_run = shard.possible_runs.is_none()
             || (may_repeat && shard.possible_runs.count() < request.route.attempts);
         if !may_run || shard.calls_sent >= MAX_CALLS {
--- a/crates/edge/tests/segments.rs
+++ b/crates/edge/tests/segments.rs
@@ -425,6 +425,18 @@
     assert!(matches!(reply, Some(Reply::Failed(_))), "{reply:?}");
 }
 
+/// A leaf's answer cannot stand for a segment.
+#[test]
+fn segment_answered_like_a_leaf_is_not_served() {
+    let mut node = node(70);
+    let token = node.request("q");
+    for call in node.calls.clone() {
+        node.end_call(call.call, success("leaf"));
+    }
+    let reply = node.reply(token);
+    assert!(matches!(reply, Some(Reply::Failed(_))), "{reply:?}");
+}
+
 fn gather(route: &mut Route) -> &mut Gather {
     match &mut route.target {
         Target::FanOut(_, gather) => gather,
