--- a/crates/gateway/tests/query_plans.rs
+++ b/crates/gateway/tests/query_plans.rs
@@ -288,3 +288,43 @@
         "the call was taken for an order"
     );
 }
+
+/// Answers as an older version of the program does: it routes the request by host and path, and finds no route for
+/// the host. Panics in its thread, without an answer, if it would find one.
+fn answer_as_an_older_version(stream: &mut TcpStream, head: &str) {
+    let path = head.split(' ').nth(1).unwrap_or_default();
+    let host = field(head, "host").unwrap_or_default();
+    let config = Inner::OuterOrder.config(7);
+    assert!(config.route("h.example", path).is_some());
+    assert!(
+        config.route(host, path).is_none(),
+        "{head} is run as an order"
+    );
+    let id = field(head, "x-id").unwrap_or_default();
+    write(
+        stream,
+        &format!(
+            "HTTP/1.1 404 Not Found\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+        ),
+    );
+}
+
+/// Guards against a segment call that an older version of the program runs as something else, in a rolling restart:
+/// it finds no route for the call, and the query is asked of another node.
+#[test]
+fn segment_call_has_no_route_in_an_older_version() {
+    let older = Leaf::start(answer_as_an_older_version);
+    let fleet = Fleet::start([(7, Inner::Outer), (7, Inner::Outer)]);
+    let asking = &fleet.nodes[0];
+    let addrs = [
+        (older.addr, asking.updates),
+        (fleet.nodes[1].peers, fleet.nodes[1].updates),
+    ];
+    asking.send_updates(move || vec![Update::Peers(addrs.iter().map(peer).collect())]);
+    wait_until(|| {
+        let response = asking.request_path("id", "/r/x");
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert_eq!(body(&response), greatest(OUTER_RECORDS), "{response}");
+        older.arrivals() > 0
+    });
+}
