--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -19,6 +19,7 @@
 };
 use monsoondeal_gateway::{GatewaySettings, HeaderNames, ReaderMode, StopSettings, Update};
 use socket2::SockRef;
+pub use standin::endless::read_head;
 pub use standin::ports::free_addr;
 
 /// Longest time that a test waits for a response or a condition.
@@ -59,19 +60,6 @@
     }
 }
 
-/// Reads the head of a request. Requests in these tests have no body.
-pub fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => head.push(byte[0]),
-            _ => return None,
-        }
-    }
-    Some(String::from_utf8_lossy(&head).into_owned())
-}
-
 /// Returns the value of a header field.
 pub fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines().find_map(|line| {
--- a/programs/monsoondeal/tests/memory.rs
+++ b/programs/monsoondeal/tests/memory.rs
@@ -17,6 +17,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use soak::store::FakeStore;
+use standin::endless::read_head;
 
 /// Memory of the smallest VM of the deployments, in bytes.
 const VM_MEMORY: u64 = 160 * 1024 * 1024;
@@ -104,19 +105,6 @@
     }
 }
 
-/// Reads the head of a request without a body.
-fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => head.push(byte[0]),
-            _ => return None,
-        }
-    }
-    Some(String::from_utf8_lossy(&head).into_owned())
-}
-
 /// Returns the value of a header field.
 fn field<'a>(head: &'a str, name: &str) -> &'a str {
     let value = head.lines().find_map(|line| {
--- a/programs/standin/src/endless.rs
+++ b/programs/standin/src/endless.rs
@@ -175,8 +175,8 @@
     size.and_then(|size| size.parse().ok()).expect("a size")
 }
 
-/// Reads the head of a request.
-fn read_head(stream: &mut TcpStream) -> Option<String> {
+/// Reads the head of a request that has no body. Returns `None` once the connection has ended.
+pub fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
