Own node: its leafs' answers are bounded one by one again

Found when the change was read once more: the own node's idle connections kept what their last answer had taken of the shared budget until the next call on them, so a few dozen large answers could have used it up. Callers would have seen calls fail as too large. The budget is taken out of that program again; `monsoondeal edge`, which gives it back with each answer, is as it was. No test showed the fault.

--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -20,9 +20,7 @@
 use monsoondeal_route::{QuerySettings, ReplicaSelectorSettings};
 use rand::RngExt;
 
-use crate::budget::ReadBudget;
 use crate::callers::CallerState;
-use crate::client::MAX_ANSWERS_BYTES;
 use crate::error::NodeError;
 use crate::event::{Event, EventSender, MessageSender, send};
 use crate::metrics::Metrics;
@@ -98,7 +96,6 @@
         peers: HashMap::new(),
         links: HashMap::new(),
         leafs: HashMap::new(),
-        answer_budget: ReadBudget::new(MAX_ANSWERS_BYTES),
         watches: HashMap::new(),
         stop: StopStage::Running,
         logged_tree: 0,
@@ -190,8 +187,6 @@
     links: HashMap<LinkId, MessageSender>,
     /// Senders of calls to the tasks that own the connections to leafs.
     leafs: HashMap<(LeafId, SocketAddr), mpsc::UnboundedSender<LeafCall>>,
-    /// Memory for the answers of all leafs.
-    answer_budget: ReadBudget,
     watches: HashMap<String, JoinHandle<()>>,
     stop: StopStage,
     logged_tree: u64,
@@ -377,8 +372,7 @@
         let events = &self.events;
         let calls = self.leafs.entry((call.leaf, call.addr)).or_insert_with(|| {
             let (sender, receiver) = mpsc::unbounded();
-            let budget = self.answer_budget.clone();
-            spawn(leafs::serve(receiver, budget, events.clone())).detach();
+            spawn(leafs::serve(receiver, events.clone())).detach();
             sender
         });
         let _ = calls.unbounded_send(call);
--- a/crates/node/src/leafs.rs
+++ b/crates/node/src/leafs.rs
@@ -18,7 +18,7 @@
 use monsoondeal_engine::io::{LeafCall, LeafCallId, LeafOutcome};
 use serde_json::value::RawValue;
 
-use crate::budget::{AnswerMemory, ReadBudget, ReadLimits};
+use crate::budget::ReadLimits;
 use crate::client::{AnswerError, MAX_ANSWER_BYTES, Sender, handshake, read_body};
 use crate::event::{Event, EventSender, send};
 use crate::http::header;
@@ -27,11 +27,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Runs the calls to one leaf until the sender is dropped and all calls have ended.
-pub(crate) async fn serve(
-    mut calls: mpsc::UnboundedReceiver<LeafCall>,
-    budget: ReadBudget,
-    events: EventSender,
-) {
+pub(crate) async fn serve(mut calls: mpsc::UnboundedReceiver<LeafCall>, events: EventSender) {
     let mut idle: Vec<Sender> = Vec::new();
     let mut running = FuturesUnordered::new();
     loop {
@@ -39,7 +35,7 @@
             call = calls.next() => match call {
                 Some(call) => {
                     idle.retain(|c| !c.is_closed());
-                    running.push(run(idle.pop(), call, &budget, events.clone()));
+                    running.push(run(idle.pop(), call, events.clone()));
                 }
                 None => break,
             },
@@ -60,12 +56,11 @@
 async fn run(
     idle: Option<Sender>,
     call: LeafCall,
-    budget: &ReadBudget,
     events: EventSender,
 ) -> (Option<Sender>, LeafCallId, LeafOutcome) {
     let id = call.id;
     let call_timeout = call.timeout;
-    match timeout(call_timeout, exchange(idle, call, budget, &events)).await {
+    match timeout(call_timeout, exchange(idle, call, &events)).await {
         Ok((connection, outcome)) => (connection, id, outcome),
         Err(_) => (None, id, LeafOutcome::Broken),
     }
@@ -74,7 +69,6 @@
 async fn exchange(
     idle: Option<Sender>,
     call: LeafCall,
-    budget: &ReadBudget,
     events: &EventSender,
 ) -> (Option<Sender>, LeafOutcome) {
     let Some(mut request) = build_request(&call) else {
@@ -95,7 +89,7 @@
             },
         }
     }
-    let Some(mut connection) = connect(&call, budget, events).await else {
+    let Some(mut connection) = connect(&call, events).await else {
         return (None, LeafOutcome::NoConnection);
     };
     match connection.try_send_request(request).await {
@@ -110,7 +104,7 @@
     }
 }
 
-async fn connect(call: &LeafCall, budget: &ReadBudget, events: &EventSender) -> Option<Sender> {
+async fn connect(call: &LeafCall, events: &EventSender) -> Option<Sender> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(call.addr))
         .await
         .ok()?
@@ -118,7 +112,7 @@
     let _ = stream.set_nodelay(true);
     let limits = ReadLimits {
         answer: MAX_ANSWER_BYTES,
-        memory: AnswerMemory::new(Some(budget.clone())),
+        ..ReadLimits::default()
     };
     let (sender, connection) = handshake(stream, limits).await.ok()?;
     let (leaf, events) = (call.leaf, events.clone());
