--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
-target/review-2/cases2 lost "$dir" review/8/record.txt
+target/review-2/cases2 decision "$dir" review/8/record.txt
--- a/review/cases2.rs
+++ b/review/cases2.rs
@@ -8,13 +8,14 @@
 use std::net::SocketAddr;
 use std::panic;
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use stage2::{
-    Connection, Leaf, Node, Proxy, Record, Store, ask, config, end_started, note_started, route,
-    wait_ready,
+    Connection, Leaf, Node, Proxy, Record, Store, ask, config, end_started, note_ended,
+    note_started, route, wait_ready,
 };
 
 /// Time after which a script is ended.
@@ -52,7 +53,7 @@
     let play = match args[0].as_str() {
         "strangers" => strangers,
         "descriptors" => descriptors,
-        "lost" => lost_watch,
+        "decision" => late_decision,
         "followers" => followers,
         "leavers" => leavers,
         other => panic!("unknown case {other}"),
@@ -62,6 +63,7 @@
         Ok(is_broken) => i32::from(is_broken),
         Err(_) => 2,
     };
+    end_started();
     let verdict = [
         "the rule held",
         "the rule was broken",
@@ -84,7 +86,7 @@
 fn start_leafs(store: &Store, service: &str, count: usize, work: Duration) -> Vec<Leaf> {
     let leafs = (0..count).map(|at| {
         let zone = ["milano-a", "milano-b", "torino-a", "verona-a"][at % 4];
-        let leaf = Leaf::start(service, &format!("i-{service}-{at}"), zone, 2, work);
+        let leaf = Leaf::start(service, &format!("i-{service}-{at}"), zone, "v1", 2, work);
         store.put("servers", &leaf.name, leaf.entry());
         leaf
     });
@@ -265,6 +267,7 @@
             .expect("a pipe")
             .read_to_string(&mut told);
         let _ = crowd.wait();
+        note_ended(crowd.id());
         refused += told
             .split("unanswered ")
             .nth(1)
@@ -404,84 +407,257 @@
 
 // ---------------------------------------------------------------- case 8
 
-/// Share of the store's answers that are lost, and for how long.
-const LOSS: f64 = 0.35;
-const LOSS_TIME: Duration = Duration::from_millis(4_500);
-/// How old the answers of the store to reads with `stale_ok` are, with or without the disruption.
-const STALENESS: Duration = Duration::from_secs(5);
-/// Time without disruption after which the store is stable and the machines are in touch.
-const CONTACT: Duration = Duration::from_millis(4_000);
-/// Rounds that are played, if the rule holds in all of them.
-const LOSS_ROUNDS: u64 = 4;
+/// Requests a second of all clients: those of a small deployment.
+const REQUESTS_PER_SECOND: f64 = 112.5;
+/// How long the machine is cut off from the store that has just written to it under a condition.
+const LEADER_CUT: Duration = Duration::from_millis(5_500);
+/// Time within which each of the first two orders is to be completed, and the third one, in seconds.
+const SHORT_ORDER_S: u64 = 4;
+const LAST_ORDER_S: u64 = 12;
+/// Time from the end of an order until new leafs start and the next order is given.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// Time after the third order at which its version turns bad.
+const BAD_AFTER: Duration = Duration::from_secs(3);
+/// Share of a service's requests that a bad version may get, and requests beyond that share.
+const EXPOSURE_SHARE: f64 = 0.1;
+const EXPOSURE_SLACK: f64 = 50.0;
+
+/// The machine that writes the end of a move is cut off before it hears that it was written. When it is back, it ends
+/// a later move to a version of the same name.
+fn late_decision(stage: &Stage) -> bool {
+    let result = (0..3).find_map(|_| play_orders(stage));
+    result.expect("the first two orders are completed in one of three attempts")
+}
 
-/// Answers of the store are lost while a route moves to another service. Long after that, some machines still have the
-/// older configuration.
-fn lost_watch(stage: &Stage) -> bool {
+/// Plays the three orders and returns whether the rule was broken, or `None` if one of the first two, whose versions
+/// are good, was not completed in time.
+fn play_orders(stage: &Stage) -> Option<bool> {
     let record = &stage.record;
     let store = Store::start();
-    store.set_staleness(STALENESS);
-    let services = ["registro", "fatture"];
-    for service in services {
-        start_leafs(&store, service, 4, Duration::from_millis(5));
-    }
-    let put_config = |version: u64, service: &str| {
-        let routes = [route(
-            "ledger",
-            "/ledger/",
-            "idempotent",
-            service,
-            2_500,
-            250,
-        )];
-        let text = config(version, &routes, &services, 96, 15_000);
-        store.put("config", "main", text);
-    };
-    put_config(1, services[0]);
-    let nodes = start_nodes(stage, &store, true);
+    // Leafs of other services, as many as on the sheet: 20 shards of two leafs and 12 of `fatture`.
+    start_leafs(&store, "fatture", 52, Duration::from_millis(20));
+    let mut leafs = start_version(&store, "v1", "a");
+    let routes = [route(
+        "ledger",
+        "/ledger/",
+        "idempotent",
+        "registro",
+        8_000,
+        800,
+    )];
+    store.put(
+        "config",
+        "main",
+        config(1, &routes, &["registro"], 96, 15_000),
+    );
+    let links: Vec<Proxy> = ZONES.iter().map(|_| Proxy::start(store.addr)).collect();
+    let nodes: Vec<Node> = (0..ZONES.len())
+        .map(|at| {
+            Node::start(
+                &stage.dir,
+                &format!("edge-{}-{at}", ZONES[at]),
+                ZONES[at],
+                links[at].addr,
+                true,
+            )
+        })
+        .collect();
     wait_ready(&nodes);
-    for round in 1..=LOSS_ROUNDS {
-        thread::sleep(Duration::from_secs(8));
-        if stage.has_trouble {
-            store.set_loss(LOSS);
-            record.say(format!(
-                "round {round}: {LOSS} of the store's answers are lost"
-            ));
+    let has_ended = Arc::new(AtomicBool::new(false));
+    let clients = start_clients(&nodes, &has_ended, record);
+    thread::sleep(Duration::from_secs(8));
+
+    // The first status `completed` is written; with the disruption, its writer is cut off before the answer.
+    let cut_node: Arc<Mutex<Option<usize>>> = Arc::default();
+    store.on_status({
+        let (links, record, cut_node) = (links.clone(), record.clone(), cut_node.clone());
+        let has_trouble = stage.has_trouble;
+        move |path, body, caller| {
+            let writer = links.iter().position(|link| link.has_called_from(caller));
+            record.add(format!("node {writer:?} writes {path}: {body}"));
+            let mut cut_node = cut_node.lock().unwrap();
+            if let Some(at) = writer
+                && body.contains("completed")
+                && cut_node.is_none()
+            {
+                *cut_node = Some(at);
+                if has_trouble {
+                    links[at].set_cut(true);
+                    record.add(format!("node {at} is cut off from the store"));
+                }
+            }
         }
-        thread::sleep(LOSS_TIME - Duration::from_millis(100));
-        let service = services[round as usize % 2];
-        put_config(1 + round, service);
-        let acknowledged = Instant::now();
-        record.add(format!(
-            "version {} is acknowledged: the route belongs to {service}",
-            1 + round
-        ));
-        thread::sleep(Duration::from_millis(100));
-        store.set_loss(0.0);
-        let calm = Instant::now();
-        record.add("no more answers are lost");
-        thread::sleep(CONTACT + Duration::from_millis(100));
-        record.add(format!(
-            "the store has been calm for {:.1?}",
-            calm.elapsed()
-        ));
-        let late = watch_versions(
-            stage,
-            &nodes,
-            &[],
-            service,
-            round,
-            acknowledged,
-            Duration::from_millis(8_000),
+    });
+    let order = |version: &str, seconds: u64| {
+        let spec = format!(
+            "{{\"service\":\"registro\",\"target_version\":\"{version}\",\"duration_s\":{seconds}}}"
         );
-        if late > 0 {
-            record.say(format!(
-                "round {round}: {late} requests sent later than {APPLY:?} after the acknowledgement, and after {CONTACT:?} \
-                 without any disruption, were run by the old service"
+        store.put("rollouts", "registro", spec);
+        record.say(format!("order: registro to {version} within {seconds} s"));
+    };
+
+    // First order: to version v2, which is good.
+    let second = start_version(&store, "v2", "b");
+    order("v2", SHORT_ORDER_S);
+    wait_completed(stage, &store, "v2", &has_ended)?;
+    let completed_at = Instant::now();
+    record.say("v2 is completed; the leafs of v1 are stopped");
+    stop_leafs(&store, &leafs);
+    let healing = thread::spawn({
+        let (links, record) = (links.clone(), record.clone());
+        move || {
+            thread::sleep(LEADER_CUT);
+            links.iter().for_each(|link| link.set_cut(false));
+            record.add("no machine is cut off any more");
+        }
+    });
+
+    // Second order: back to version v1.
+    thread::sleep(SETTLE_TIME);
+    leafs = start_version(&store, "v1", "c");
+    order("v1", SHORT_ORDER_S);
+    wait_completed(stage, &store, "v1", &has_ended)?;
+    record.say("v1 is completed; the leafs of v2 are stopped");
+    stop_leafs(&store, &second);
+
+    thread::sleep(SETTLE_TIME);
+    // Third order: to version v2 once more, whose new leafs turn bad after a while.
+    let third = start_version(&store, "v2", "d");
+    let ordered = Instant::now();
+    record.add(format!(
+        "{:.3?} after the first order was completed",
+        ordered - completed_at
+    ));
+    order("v2", LAST_ORDER_S);
+    thread::sleep(BAD_AFTER);
+    third.iter().for_each(Leaf::set_failing);
+    record.say("v2 turns bad: its leafs fail all requests from now on");
+    let deadline = ordered + Duration::from_secs(LAST_ORDER_S);
+    let mut is_stopped = false;
+    while Instant::now() < deadline {
+        let is_completed = is_completed(&store, "v2");
+        if is_completed && !is_stopped {
+            record.say("v2 is completed; the leafs of v1 are stopped");
+            stop_leafs(&store, &leafs);
+            is_stopped = true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    record.say(format!(
+        "status at the deadline: {}",
+        store.status("rollouts", "registro")
+    ));
+    healing.join().expect("the cut ends");
+    has_ended.store(true, Ordering::SeqCst);
+    clients
+        .into_iter()
+        .for_each(|client| client.join().expect("a client"));
+
+    // Only requests that went to machines which were never cut off count against the rule.
+    let cut_prefix = cut_node
+        .lock()
+        .unwrap()
+        .map(|at| format!("r-{at}-"))
+        .unwrap_or_default();
+    let in_time = |leafs: &[Leaf]| -> Vec<stage2::Arrival> {
+        let all = leafs.iter().flat_map(Leaf::arrivals);
+        all.filter(|arrival| arrival.taken && arrival.at >= ordered && arrival.at < deadline)
+            .collect()
+    };
+    let (old, new) = (in_time(&leafs), in_time(&third));
+    let exposed = new
+        .iter()
+        .filter(|arrival| !arrival.id.starts_with(&cut_prefix))
+        .count();
+    let all = old.len() + new.len() + in_time(&second).len();
+    let allowed = EXPOSURE_SHARE * all as f64 + EXPOSURE_SLACK;
+    record.say(format!(
+        "from the third order to its deadline {all} requests reached the service; v2 got {exposed} of them from machines \
+         that were never cut off, {allowed:.0} are allowed"
+    ));
+    Some(exposed as f64 > allowed)
+}
+
+/// Starts the leafs of a version of the service and registers them.
+fn start_version(store: &Store, version: &str, mark: &str) -> Vec<Leaf> {
+    let leafs = (0..6).map(|at| {
+        let (name, zone) = (format!("i-{mark}{at}"), ZONES[at]);
+        let leaf = Leaf::start(
+            "registro",
+            &name,
+            zone,
+            version,
+            2,
+            Duration::from_millis(20),
+        );
+        store.put("servers", &leaf.name, leaf.entry());
+        leaf
+    });
+    leafs.collect()
+}
+
+/// Stops leafs at once, as the platform does with those of the old version.
+fn stop_leafs(store: &Store, leafs: &[Leaf]) {
+    for leaf in leafs {
+        leaf.end();
+        store.remove("servers", &leaf.name);
+    }
+}
+
+fn is_completed(store: &Store, version: &str) -> bool {
+    let status = store.status("rollouts", "registro");
+    status.contains("\"completed\"") && status.contains(&format!("\"{version}\""))
+}
+
+/// Waits until the move to a good version is completed, or returns `None` if it isn't in time.
+fn wait_completed(
+    stage: &Stage,
+    store: &Store,
+    version: &str,
+    has_ended: &AtomicBool,
+) -> Option<()> {
+    let end = Instant::now() + Duration::from_secs(SHORT_ORDER_S + 2);
+    while !is_completed(store, version) {
+        if Instant::now() >= end {
+            stage.record.say(format!(
+                "the move to {version} was not completed in time; the attempt ends"
             ));
-            return true;
+            has_ended.store(true, Ordering::SeqCst);
+            return None;
         }
+        thread::sleep(Duration::from_millis(10));
     }
-    false
+    Some(())
+}
+
+/// Starts clients that send requests to all nodes until `has_ended` is set.
+fn start_clients(
+    nodes: &[Node],
+    has_ended: &Arc<AtomicBool>,
+    record: &Record,
+) -> Vec<thread::JoinHandle<()>> {
+    const CLIENTS: usize = 24;
+    let pause = Duration::from_secs_f64(CLIENTS as f64 / REQUESTS_PER_SECOND);
+    let clients = (0..CLIENTS).map(|client| {
+        let (has_ended, record) = (has_ended.clone(), record.clone());
+        let (at, front) = (client % nodes.len(), nodes[client % nodes.len()].front);
+        thread::spawn(move || {
+            thread::sleep(pause.mul_f64(client as f64 / CLIENTS as f64));
+            let mut count = 0;
+            while !has_ended.load(Ordering::SeqCst) {
+                let started = Instant::now();
+                count += 1;
+                let id = format!("r-{at}-{client}-{count}");
+                let told = match ask(front, "GET", "/ledger/1", &id, 8_000, "") {
+                    Ok(answer) => format!("{} {}", answer.status, answer.stamp()),
+                    Err(error) => error.to_string(),
+                };
+                record.add(format!("{id}: {told}"));
+                thread::sleep(pause.saturating_sub(started.elapsed()));
+            }
+        })
+    });
+    clients.collect()
 }
 
 // ---------------------------------------------------------------- case 9
@@ -657,7 +833,7 @@
 
 /// Requests a second, and how long clients come.
 const ORDERS_PER_SECOND: f64 = 22.5;
-const ORDER_TIME: Duration = Duration::from_secs(56);
+const ORDER_TIME: Duration = Duration::from_secs(70);
 /// The disruptions begin anew after this time, at other leafs, and last for this long.
 const EPISODE: Duration = Duration::from_secs(14);
 const EPISODE_TROUBLE: Duration = Duration::from_secs(8);
--- a/review/stage2.rs
+++ b/review/stage2.rs
@@ -124,41 +124,6 @@
     objects: BTreeMap<(String, String), StoredObject>,
     /// Changes: revision, kind, name, and the object or `None` for a removal.
     history: Vec<(u64, String, String, Option<StoredObject>)>,
-    /// Times of the revisions.
-    times: Vec<(Instant, u64)>,
-    /// How old the answers to reads with `stale_ok` are.
-    staleness: Duration,
-    /// Share of the answers that are lost; their connections return nothing further.
-    loss: f64,
-    /// State of the random numbers that choose them.
-    draw: u64,
-}
-
-impl StoreState {
-    /// Records that the revision has just been reached.
-    fn note_time(&mut self) {
-        self.times.push((Instant::now(), self.revision));
-    }
-
-    /// Returns the revision that reads with `stale_ok` see.
-    fn stale_revision(&self) -> u64 {
-        let is_old = |(at, _): &&(Instant, u64)| at.elapsed() >= self.staleness;
-        self.times
-            .iter()
-            .rev()
-            .find(is_old)
-            .map_or(1, |(_, revision)| *revision)
-    }
-
-    /// Returns whether the next answer is lost.
-    fn draws_loss(&mut self) -> bool {
-        self.draw = self
-            .draw
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963_407);
-        let unit = (self.draw >> 11) as f64 / (1_u64 << 53) as f64;
-        unit < self.loss
-    }
 }
 
 /// The platform's store: objects by kind and name, listings by page, watches and conditional writes.
@@ -166,8 +131,12 @@
 pub struct Store {
     pub addr: SocketAddr,
     shared: Arc<(Mutex<StoreState>, Condvar)>,
+    hook: Arc<Mutex<Option<StatusHook>>>,
 }
 
+/// Called with the path, the body and the caller's address of each status that was written, before the answer is sent.
+type StatusHook = Box<dyn Fn(&str, &str, SocketAddr) + Send>;
+
 fn object_json(name: &str, object: &StoredObject) -> String {
     format!(
         "{{\"meta\":{{\"name\":\"{name}\",\"revision\":{},\"created\":{},\"finalizers\":[],\"deleting\":false}},\
@@ -189,12 +158,11 @@
         let store = Self {
             addr: listener.local_addr().unwrap(),
             shared: Arc::default(),
+            hook: Arc::default(),
         };
         {
             let mut state = store.shared.0.lock().unwrap();
             state.revision = 1;
-            state.draw = u64::from(std::process::id());
-            state.note_time();
         }
         let server = store.clone();
         thread::spawn(move || {
@@ -219,7 +187,6 @@
             status: held.map_or("null".to_owned(), |held| held.status),
         };
         state.objects.insert(key, object.clone());
-        state.note_time();
         state
             .history
             .push((revision, kind.to_owned(), name.to_owned(), Some(object)));
@@ -231,7 +198,6 @@
         state.objects.remove(&(kind.to_owned(), name.to_owned()));
         state.revision += 1;
         let revision = state.revision;
-        state.note_time();
         state
             .history
             .push((revision, kind.to_owned(), name.to_owned(), None));
@@ -244,8 +210,12 @@
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
             let (status, body) = self.answer(&request).unwrap_or((404, "{}".to_owned()));
-            if self.shared.0.lock().unwrap().draws_loss() {
-                return discard(&mut reader);
+            if status == 200 && request.method == "PUT" && request.target.ends_with("/status") {
+                let text = String::from_utf8_lossy(&request.body);
+                let peer = writer.peer_addr();
+                if let (Some(hook), Ok(peer)) = (&*self.hook.lock().unwrap(), peer) {
+                    hook(&request.target, &text, peer);
+                }
             }
             let fields = "content-type: application/json\r\n";
             if writer
@@ -291,14 +261,13 @@
             let object = self.get(kind, name)?;
             return Some((200, object_json(name, &object)));
         }
-        let is_stale = field("stale_ok").is_some();
         match field("watch") {
             Some(revision) => {
                 let wait = Duration::from_millis(field("wait_ms")?.parse().ok()?);
-                let body = self.watch(path, revision.parse().ok()?, wait, is_stale);
+                let body = self.watch(path, revision.parse().ok()?, wait);
                 Some((200, body))
             }
-            None => Some((200, self.list(path, field("after").unwrap_or(""), is_stale))),
+            None => Some((200, self.list(path, field("after").unwrap_or("")))),
         }
     }
 
@@ -340,14 +309,10 @@
         (200, "{}".to_owned())
     }
 
-    fn list(&self, kind: &str, after: &str, is_stale: bool) -> String {
+    fn list(&self, kind: &str, after: &str) -> String {
         const PAGE: usize = 50;
         let state = self.shared.0.lock().unwrap();
-        let revision = if is_stale {
-            state.stale_revision()
-        } else {
-            state.revision
-        };
+        let revision = state.revision;
         let mut objects = BTreeMap::new();
         for (at, held, name, object) in &state.history {
             if *at <= revision && held == kind && name.as_str() > after {
@@ -365,15 +330,11 @@
         format!("{{\"items\":[{page}],\"has_more\":{has_more},\"current_rev\":{revision}}}")
     }
 
-    fn watch(&self, kind: &str, after: u64, wait: Duration, is_stale: bool) -> String {
+    fn watch(&self, kind: &str, after: u64, wait: Duration) -> String {
         let end = Instant::now() + wait;
         let mut state = self.shared.0.lock().unwrap();
         loop {
-            let revision = if is_stale {
-                state.stale_revision()
-            } else {
-                state.revision
-            };
+            let revision = state.revision;
             let is_seen = |at: u64| at > after && at <= revision;
             let changes = state
                 .history
@@ -400,22 +361,21 @@
         }
     }
 
-    /// Sets how old the answers to reads with `stale_ok` are.
-    pub fn set_staleness(&self, staleness: Duration) {
-        self.shared.0.lock().unwrap().staleness = staleness;
+    /// Sets what is called when a status has been written.
+    pub fn on_status<F>(&self, hook: F)
+    where
+        F: Fn(&str, &str, SocketAddr) + Send + 'static,
+    {
+        *self.hook.lock().unwrap() = Some(Box::new(hook));
     }
 
-    /// Sets the share of the answers that are lost from now on.
-    pub fn set_loss(&self, loss: f64) {
-        self.shared.0.lock().unwrap().loss = loss;
+    /// Returns the status of an object, in JSON.
+    pub fn status(&self, kind: &str, name: &str) -> String {
+        self.get(kind, name)
+            .map_or_else(String::new, |object| object.status)
     }
 }
 
-/// Reads and discards what comes on a connection that returns nothing further.
-fn discard(reader: &mut BufReader<TcpStream>) {
-    while read_request(reader).is_some() {}
-}
-
 // ---------------------------------------------------------------- leafs
 
 /// A request that reached a leaf, health checks left out.
@@ -434,6 +394,9 @@
     waiting: usize,
     arrivals: Vec<Arrival>,
     sequence: u64,
+    /// Whether requests are run and fail.
+    is_failing: bool,
+    has_ended: bool,
 }
 
 /// A leaf of one service: so many requests at a time, health checks included, and a queue of a few more.
@@ -443,6 +406,8 @@
     pub service: String,
     pub name: String,
     pub zone: String,
+    /// Version of its software.
+    pub version: String,
     slots: usize,
     queue: usize,
     born: u128,
@@ -450,7 +415,14 @@
 }
 
 impl Leaf {
-    pub fn start(service: &str, name: &str, zone: &str, slots: usize, work: Duration) -> Self {
+    pub fn start(
+        service: &str,
+        name: &str,
+        zone: &str,
+        version: &str,
+        slots: usize,
+        work: Duration,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let state = LeafState {
             work,
@@ -458,12 +430,15 @@
             waiting: 0,
             arrivals: Vec::new(),
             sequence: 0,
+            is_failing: false,
+            has_ended: false,
         };
         let leaf = Self {
             addr: listener.local_addr().unwrap(),
             service: service.to_owned(),
             name: name.to_owned(),
             zone: zone.to_owned(),
+            version: version.to_owned(),
             slots,
             queue: 12,
             born: SystemTime::now()
@@ -487,6 +462,16 @@
         self.shared.0.lock().unwrap().work = work;
     }
 
+    /// Makes the leaf run requests and fail them from now on.
+    pub fn set_failing(&self) {
+        self.shared.0.lock().unwrap().is_failing = true;
+    }
+
+    /// Ends the leaf: it answers nothing any more.
+    pub fn end(&self) {
+        self.shared.0.lock().unwrap().has_ended = true;
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.shared.0.lock().unwrap().arrivals.clone()
     }
@@ -505,9 +490,9 @@
     /// Returns the fields of an entry without `sequence`, for any service.
     pub fn entry_fields(&self, service: &str) -> String {
         format!(
-            "\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{}\",\"config_version\":\"v1\",\
+            "\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{}\",\"config_version\":\"{}\",\
              \"max_concurrency\":{},\"state\":\"ready\",\"warmup_left_ms\":0,\"born\":{}",
-            self.addr, self.zone, self.slots, self.born
+            self.addr, self.zone, self.version, self.slots, self.born
         )
     }
 
@@ -516,6 +501,9 @@
         let _ = writer.set_nodelay(true);
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
+            if self.shared.0.lock().unwrap().has_ended {
+                return;
+            }
             if writer.write_all(&self.answer(&request)).is_err() {
                 return;
             }
@@ -553,6 +541,7 @@
         });
         let mut state = self.shared.0.lock().unwrap();
         state.running -= 1;
+        let is_failing = state.is_failing;
         drop(state);
         self.shared.1.notify_one();
         if is_check {
@@ -562,11 +551,9 @@
             "{echo}x-monsoondeal-server-stamp: {}/{}/{id}\r\n",
             self.service, self.name
         );
-        response(
-            200,
-            &stamp,
-            format!("{}:{}", self.service, request.target).as_bytes(),
-        )
+        let status = if is_failing { 500 } else { 200 };
+        let body = format!("{}:{}", self.service, request.target);
+        response(status, &stamp, body.as_bytes())
     }
 
     /// Takes a place in the queue, or returns false if it is full.
@@ -615,6 +602,8 @@
     is_cut: Arc<AtomicBool>,
     /// When the store's latest answer passed.
     heard_at: Arc<Mutex<Instant>>,
+    /// Addresses from which the proxy has called the store.
+    sockets: Arc<Mutex<Vec<SocketAddr>>>,
 }
 
 impl Proxy {
@@ -624,6 +613,7 @@
             addr: listener.local_addr().unwrap(),
             is_cut: Arc::default(),
             heard_at: Arc::new(Mutex::new(Instant::now())),
+            sockets: Arc::default(),
         };
         let link = proxy.clone();
         thread::spawn(move || {
@@ -638,6 +628,9 @@
                     else {
                         return;
                     };
+                    if let Ok(addr) = server.local_addr() {
+                        link.sockets.lock().unwrap().push(addr);
+                    }
                     let answers = link.clone();
                     thread::spawn(move || link.copy(client, server2, false));
                     thread::spawn(move || answers.copy(server, client2, true));
@@ -651,6 +644,11 @@
         self.is_cut.store(is_cut, Ordering::SeqCst);
     }
 
+    /// Returns whether a call of this address came through the proxy.
+    pub fn has_called_from(&self, addr: SocketAddr) -> bool {
+        self.sockets.lock().unwrap().contains(&addr)
+    }
+
     /// Returns how long ago the node heard from the store.
     pub fn silence(&self) -> Duration {
         self.heard_at.lock().unwrap().elapsed()
@@ -777,7 +775,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
-            STARTED.lock().unwrap().retain(|id| *id != child.id());
+            note_ended(child.id());
         }
     }
 
@@ -839,6 +837,11 @@
     STARTED.lock().unwrap().push(id);
 }
 
+/// Records that such a process has ended.
+pub fn note_ended(id: u32) {
+    STARTED.lock().unwrap().retain(|started| *started != id);
+}
+
 /// Ends all processes that the script started and that still run, by their ids.
 pub fn end_started() {
     for id in STARTED.lock().unwrap().drain(..) {
