Answers: a line feed that ends no line makes a head malformed

Cause: the HTTP library takes a line feed alone for the end of a line. After an ended line it is an empty line, so the head ends there and the rest of the head is read as the body.

Change: head.rs reads along with the head of each answer and refuses a line feed without a CR before it, as RFC 9112 (2.2) allows. `Sender` is a type around the library's now and begins the check with each request; a write would not do, as an answer may begin while its request is still being written.

Why it works: no end of a line is left that leaf and node could see differently. The library refuses every other control byte and blank in names, and every status that is no three-digit number from 100.

Places looked at: heads of leafs (answers, parts, identity checks), of nodes (segments, handshakes of followers), of the store, and of the product's own node: all but the handshakes come through one function.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,7 +29,7 @@
 };
 pub use hub::run;
 pub use monsoondeal_node::budget::{AnswerMemory, ReadBudget, ReadLimits, Reservation};
-pub use monsoondeal_node::client::{handshake, read_held_body};
+pub use monsoondeal_node::client::{Sender, handshake, read_held_body};
 pub use monsoondeal_node::signals::{SignalReceiver, Signals};
 
 pub use settings::{GatewaySettings, HeaderNames, StopSettings};
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -35,7 +35,10 @@
 }
 
 impl Leaf {
-    pub fn start(behave: Behaviour) -> Self {
+    pub fn start<F>(behave: F) -> Self
+    where
+        F: Fn(&mut TcpStream, &str) + Clone + Send + 'static,
+    {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("an address");
         let arrivals = Arc::new(AtomicUsize::new(0));
@@ -43,6 +46,7 @@
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let (mut stream, counter) = (stream.expect("a connection"), counter.clone());
+                let behave = behave.clone();
                 thread::spawn(move || {
                     while let Some(head) = read_head(&mut stream) {
                         counter.fetch_add(1, Ordering::SeqCst);
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -4,15 +4,16 @@
 
 use std::collections::HashSet;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 
-use common::{Gateway, config_of_version, free_addr, vm_name, wait_until};
+use common::{Gateway, config_of_version, field, free_addr, read_head, vm_name, wait_until};
 use monsoondeal_edge::{Name, Peer};
 use monsoondeal_gateway::{ReaderMode, Update};
 use rstest::rstest;
+use tokio_tungstenite::tungstenite::handshake::derive_accept_key;
 
 /// Nodes of the domain under test.
 const NODES: usize = 6;
@@ -160,6 +161,49 @@
     wait_until(|| follower.reader_mode() == Some(ReaderMode::On));
 }
 
+/// Accepts the handshake of a follower, with another status or one more line in the head of the answer.
+fn accept_oddly(mut stream: TcpStream, status: &str, line: &str) {
+    let head = read_head(&mut stream).expect("a handshake");
+    let key = field(&head, "sec-websocket-key").expect("a key");
+    let accept = derive_accept_key(key.as_bytes());
+    let answer = format!(
+        "HTTP/1.1 {status} Switching Protocols\r\nupgrade: websocket\r\nconnection: upgrade\r\n\
+         sec-websocket-accept: {accept}\r\n{line}\r\n"
+    );
+    // The follower may close the connection at once.
+    let _ = stream.write_all(answer.as_bytes());
+    let _ = stream.read(&mut [0]);
+}
+
+/// A node reads the store itself if the readers answer its handshake with an odd head.
+#[rstest]
+#[case::status("000", "")]
+#[case::blank("101", "x odd: 1\r\n")]
+#[case::blank_before("101", " x-odd: 1\r\n")]
+#[case::blank_after("101", "x-odd : 1\r\n")]
+#[case::control("101", "x\u{1}odd: 1\r\n")]
+#[case::line_feed("101", "\nx-odd: 1\r\n")]
+#[case::carriage_return("101", "\rx-odd: 1\r\n")]
+fn follower_leaves_readers_with_odd_handshake(
+    #[case] status: &'static str,
+    #[case] line: &'static str,
+) {
+    let fleet = fleet();
+    for addr in &fleet[..4] {
+        let listener = TcpListener::bind(addr).expect("a free port");
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let stream = stream.expect("a connection");
+                thread::spawn(move || accept_oddly(stream, status, line));
+            }
+        });
+    }
+    let follower = start(&fleet, 5);
+    wait_until(|| follower.reader_mode() == Some(ReaderMode::On));
+    follower.send_updates(initial_updates);
+    follower.wait_until_ready();
+}
+
 /// A node reads the store itself if the readers accept connections but stay silent, close them at once, or send
 /// invalid frames.
 #[rstest]
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -1,7 +1,8 @@
 //! The client side of an HTTP connection, with limits on the size of answers.
 //!
 //! [`Stream`] limits all bytes that are read for one request: head, interim responses, framing, body and
-//! trailers. This module limits the size of the head. Time-outs are up to the code that uses it.
+//! trailers. This module limits the size of the head, and has the ends of its lines checked. Time-outs are up to the
+//! code that uses it.
 
 use std::error::Error;
 
@@ -9,10 +10,13 @@
 use compio::net::TcpStream;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use hyper::{Request, Response};
 use quick_error::quick_error;
 
 use crate::budget::{AnswerMemory, ReadLimits, Reservation};
+use crate::head::HeadCheck;
 use crate::stream::{ReadBudgetExceeded, ReadLimitExceeded, Stream};
 
 /// Maximum size of a leaf's answer with its head, in bytes: about thirty times the usual size.
@@ -25,8 +29,60 @@
 /// Maximum number of header fields of an answer.
 const MAX_HEADER_FIELDS: usize = 100;
 
-/// Sends requests on a connection.
-pub type Sender = SendRequest<Full<Bytes>>;
+/// `Sender` sends requests on a connection, one at a time.
+#[derive(Debug)]
+pub struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    /// Checks the head of the answer to each request.
+    head: HeadCheck,
+}
+
+impl Sender {
+    /// Waits until a request can be sent.
+    ///
+    /// # Errors
+    ///
+    /// If the connection is closed.
+    pub async fn ready(&mut self) -> hyper::Result<()> {
+        self.requests.ready().await
+    }
+
+    /// Returns whether a request can be sent now.
+    pub fn is_ready(&self) -> bool {
+        self.requests.is_ready()
+    }
+
+    /// Returns whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.requests.is_closed()
+    }
+
+    /// Sends a request and returns the answer, whose body has not been read yet.
+    ///
+    /// # Errors
+    ///
+    /// If the connection ends before the head of the answer has been read, or the head is malformed.
+    pub async fn send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.head.begin();
+        self.requests.send_request(request).await
+    }
+
+    /// Like [`send_request`](Self::send_request); an error holds the request if nothing of it was sent.
+    ///
+    /// # Errors
+    ///
+    /// As for [`send_request`](Self::send_request).
+    pub async fn try_send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head.begin();
+        self.requests.try_send_request(request).await
+    }
+}
 
 quick_error! {
     /// `AnswerError` is the reason why no complete answer to a sent request was received.
@@ -83,11 +139,14 @@
     stream: TcpStream,
     limits: ReadLimits,
 ) -> hyper::Result<(Sender, Connection<Stream, Full<Bytes>>)> {
-    Builder::new()
+    let head = HeadCheck::default();
+    let stream = Stream::limited(stream, limits, head.clone());
+    let (requests, connection) = Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADER_FIELDS)
-        .handshake(Stream::limited(stream, limits))
-        .await
+        .handshake(stream)
+        .await?;
+    Ok((Sender { requests, head }, connection))
 }
 
 /// The bytes of an answer, and the part of a budget that they take.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod error;
 pub mod event;
 pub mod frame;
+mod head;
 pub mod http;
 mod hub;
 mod leafs;
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -5,7 +5,8 @@
 //! the reset looks complete. [`Stream`] keeps the error and reports it instead.
 //!
 //! The HTTP library limits the size of the head, but not that of interim responses and of the framing of a
-//! body. A stream with a limit reads at most that many bytes for one request, whichever part they belong to.
+//! body. A stream with a limit reads at most that many bytes for one request, whichever part they belong to. It also
+//! checks how the lines of a head end.
 
 use std::cell::Cell;
 use std::error::Error;
@@ -25,6 +26,7 @@
 use socket2::SockRef;
 
 use crate::budget::{AnswerMemory, ReadLimits};
+use crate::head::HeadCheck;
 
 /// `ReadLimitExceeded` is the error of a read that exceeds the limit of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,10 +52,23 @@
 
 impl Error for ReadBudgetExceeded {}
 
+/// `MalformedHead` is the error of a read that returns a line of an answer's head without its proper end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MalformedHead;
+
+impl fmt::Display for MalformedHead {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the head of the answer holds a line feed that ends no line")
+    }
+}
+
+impl Error for MalformedHead {}
+
 /// The reason why a stream has stopped reading.
 #[derive(Clone, Copy, Debug)]
 enum ReadFailure {
     Io(io::ErrorKind),
+    MalformedHead,
     LimitExceeded,
     BudgetExceeded,
 }
@@ -62,6 +77,7 @@
     fn from(failure: ReadFailure) -> Self {
         match failure {
             ReadFailure::Io(kind) => kind.into(),
+            ReadFailure::MalformedHead => Self::other(MalformedHead),
             ReadFailure::LimitExceeded => Self::other(ReadLimitExceeded),
             ReadFailure::BudgetExceeded => Self::other(ReadBudgetExceeded),
         }
@@ -78,11 +94,17 @@
     limit: usize,
     /// Counts the bytes read since the latest write against the bound on all answers.
     memory: AnswerMemory,
+    /// Checks the heads of answers; `None` on the side that answers.
+    head: Option<HeadCheck>,
 }
 
 impl ReadState {
-    /// Subtracts read bytes from the bytes that may still be read.
-    fn consume(&self, bytes: usize) -> io::Result<usize> {
+    /// Checks the head of an answer in the bytes read, and subtracts them from those that may still be read.
+    fn consume(&self, read: &[u8]) -> io::Result<usize> {
+        if self.head.as_ref().is_some_and(|head| !head.accept(read)) {
+            return Err(self.fail(ReadFailure::MalformedHead));
+        }
+        let bytes = read.len();
         let Some(remaining) = self.remaining.get().checked_sub(bytes) else {
             return Err(self.fail(ReadFailure::LimitExceeded));
         };
@@ -112,7 +134,7 @@
     {
         let BufResult(read, buf) = self.stream.read(buf).await;
         let read = match read {
-            Ok(bytes) => self.state.consume(bytes),
+            Ok(bytes) => self.state.consume(&buf.as_init()[..bytes]),
             Err(error) => {
                 self.state.fail(ReadFailure::Io(error.kind()));
                 Err(error)
@@ -150,18 +172,24 @@
     /// Creates a stream over an open connection without a limit on the bytes read, for code that limits them
     /// itself.
     pub fn new(stream: TcpStream) -> Self {
-        Self::limited(stream, ReadLimits::default())
+        Self::with(stream, ReadLimits::default(), None)
     }
 
     /// Creates a stream for the side that sends requests. It reads at most `limits.answer` bytes after each write,
     /// and fails with [`ReadLimitExceeded`] if there are more. It fails with [`ReadBudgetExceeded`] if the bytes read
-    /// since the latest write do not fit into the budget of `limits.memory`.
-    pub fn limited(stream: TcpStream, limits: ReadLimits) -> Self {
+    /// since the latest write do not fit into the budget of `limits.memory`, and with [`MalformedHead`] if `head`
+    /// does not accept the head of an answer.
+    pub(crate) fn limited(stream: TcpStream, limits: ReadLimits, head: HeadCheck) -> Self {
+        Self::with(stream, limits, Some(head))
+    }
+
+    fn with(stream: TcpStream, limits: ReadLimits, head: Option<HeadCheck>) -> Self {
         let state = Rc::new(ReadState {
             failure: Cell::new(None),
             remaining: Cell::new(limits.answer),
             limit: limits.answer,
             memory: limits.memory,
+            head,
         });
         let monitored = MonitoredStream {
             stream,
