--- a/crates/gateway/tests/answer_heads.rs
+++ b/crates/gateway/tests/answer_heads.rs
@@ -4,14 +4,12 @@
 mod common;
 
 use std::collections::{HashMap, HashSet};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
-use common::{Gateway, Leaf, answer_correctly, field, request_text, write};
-use monsoondeal_edge::{
-    Config, Gather, LeafEntry, Limits, Name, Peer, Repeat, Route, Service, Target,
-};
+use common::{Gateway, Leaf, answer_correctly, field, leaf_entry, request_text, write};
+use monsoondeal_edge::{Config, Gather, Limits, Name, Peer, Repeat, Route, Service, Target};
 use monsoondeal_gateway::Update;
 use rstest::rstest;
 
@@ -207,20 +205,6 @@
     }
 }
 
-fn leaf_entry(name: &str, service: &str, addr: SocketAddr) -> LeafEntry {
-    LeafEntry {
-        name: Name::from(name),
-        born: 1,
-        service: Name::from(service),
-        addr,
-        domain: Name::from("a"),
-        version: Name::from("v1"),
-        slots: 3,
-        draining: false,
-        warmup: Duration::ZERO,
-    }
-}
-
 /// Returns a configuration with one query, `/r/`, over two shards.
 fn query_config() -> Config {
     let shards = ["shard-0", "shard-1"].map(Name::from).to_vec();
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -353,10 +353,15 @@
 }
 
 fn entry((at, addr): (usize, SocketAddr)) -> LeafEntry {
+    leaf_entry(&format!("leaf-{at}"), "s", addr)
+}
+
+/// Returns the entry of a leaf that serves requests.
+pub fn leaf_entry(name: &str, service: &str, addr: SocketAddr) -> LeafEntry {
     LeafEntry {
-        name: Name::from(format!("leaf-{at}")),
+        name: Name::from(name),
         born: 1,
-        service: Name::from("s"),
+        service: Name::from(service),
         addr,
         domain: Name::from("a"),
         version: Name::from("v1"),
--- a/crates/gateway/tests/query_plans.rs
+++ b/crates/gateway/tests/query_plans.rs
@@ -8,10 +8,10 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use common::{Gateway, Leaf, exchange, field, free_addr, request_text, vm_name, wait_until, write};
-use monsoondeal_edge::{
-    Config, Gather, LeafEntry, Limits, Name, Peer, Repeat, Route, Service, Target,
+use common::{
+    Gateway, Leaf, exchange, field, free_addr, leaf_entry, request_text, vm_name, wait_until, write,
 };
+use monsoondeal_edge::{Config, Gather, Limits, Name, Peer, Repeat, Route, Service, Target};
 use monsoondeal_gateway::Update;
 use rstest::rstest;
 
@@ -186,17 +186,9 @@
 
 fn start_node(version: u64, inner: Inner, leafs: Vec<(String, SocketAddr)>) -> Gateway {
     let node = Gateway::start_at(free_addr(), move || {
-        let entries = leafs.iter().map(|(service, addr)| LeafEntry {
-            name: Name::from(format!("leaf-of-{service}")),
-            born: 1,
-            service: Name::from(service.as_str()),
-            addr: *addr,
-            domain: Name::from("a"),
-            version: Name::from("v1"),
-            slots: 3,
-            draining: false,
-            warmup: Duration::ZERO,
-        });
+        let entries = leafs
+            .iter()
+            .map(|(service, addr)| leaf_entry(&format!("leaf-of-{service}"), service, *addr));
         vec![
             Update::Leafs(entries.collect()),
             Update::ClosedDomains(HashSet::new()),
