GONE: orders that are not written yet are taken back when their callers leave

Cause: Edge::caller_gone cancelled calls that may be repeated and let all others run on, although a call of which nothing has been written cannot be running. Evidence: the log line 'call taken back' (runs_on false) for such calls, and tests that failed before: unwritten_order_of_a_gone_caller_is_taken_back 3 of 3 cases, caller_gone_takes_back_unwritten_at_most_once_call, timed_out_request_takes_back_unwritten_at_most_once_call.

Change: such calls are withheld; WriteMark::begin is the one gate to writing and is closed for good by withdraw, also for a call that a closed connection hands back; the outcome is 'withdrawn', which does not blame the leaf and gives slot and permit back. Requests that end with 504 take their unwritten call back, too.

Left: a caller that pipelines and leaves.

--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -247,6 +247,13 @@
         /// budget.
         is_repeat: bool,
     },
+    /// The caller disconnected before it was answered.
+    CallerLeft {
+        /// Calls under way for the request.
+        calls: usize,
+        /// Time since the request.
+        waited: Duration,
+    },
     /// Another node asked for a segment of a query whose plan is not in force here.
     UnknownPlan {
         /// Plan of the query.
@@ -272,7 +279,8 @@
     Send(LeafCall),
     /// Cancel a call and close its connection.
     Cancel(CallId),
-    /// End a call as [`CallOutcome::Unsent`] if nothing of it has been written yet.
+    /// End a call as [`NotRunCause::Withdrawn`](crate::NotRunCause::Withdrawn) unless some of it may have been written.
+    /// A call that has to be written anew must not be, from now on.
     Withhold(CallId),
     /// Respond to a caller.
     Reply(Token, Reply, Summary),
--- a/crates/edge/src/edge/call_outcome.rs
+++ b/crates/edge/src/edge/call_outcome.rs
@@ -52,7 +52,8 @@
         self.drive_moves(now, out);
     }
 
-    /// Handles the disconnection of a caller. Calls that may be repeated are cancelled.
+    /// Handles the disconnection of a caller. Calls that may be repeated are cancelled. Others are taken back if
+    /// nothing of them has been written, and run on otherwise.
     pub fn caller_gone(&mut self, token: Token, now: Time, out: &mut Vec<Action>) {
         let Some(request) = self.pending.remove(&token) else {
             return;
@@ -61,15 +62,18 @@
         if let Some(admission) = self.admission(&request) {
             admission.end(request.unloaded_time, LoadSignal::None);
         }
-        let open_calls: Vec<CallId> = request
-            .shards
-            .iter()
-            .flat_map(|s| s.open_calls.clone())
-            .collect();
+        let open_calls: Vec<CallId> = request.open_calls().collect();
+        let calls = open_calls.len();
+        let waited = now.since(request.received_at);
+        out.push(Action::Log(
+            token,
+            RequestEvent::CallerLeft { calls, waited },
+        ));
         for id in open_calls {
             if request.is_idempotent() {
                 self.cancel(id, now, out);
             } else {
+                out.push(Action::Withhold(id));
                 let linger_until = request.deadline + LINGER_TIME;
                 self.linger_timers.push(Reverse((linger_until, id)));
             }
@@ -228,15 +232,19 @@
         };
         let elapsed = now.since(call.sent_at);
         self.record_for_move(&call, &CallOutcome::Broken, elapsed, now);
-        let tracker = self.trackers.get(&call.tracker_key);
-        let slowness = tracker.map_or(1.0, |tracker| tracker.slowness(elapsed));
-        let feedback = LeafFeedback::Cancelled(slowness);
+        let feedback = self.cancelled_feedback(&call, elapsed);
         self.selector
             .call_ended(call.leaf, feedback, call.is_overdue, now);
         out.push(Action::Cancel(id));
         self.serve_waiters(&call.service, now, out);
     }
 
+    /// Returns the feedback of a call that this node ended after some time.
+    fn cancelled_feedback(&self, call: &Call, elapsed: Duration) -> LeafFeedback {
+        let tracker = self.trackers.get(&call.tracker_key);
+        LeafFeedback::Cancelled(tracker.map_or(1.0, |tracker| tracker.slowness(elapsed)))
+    }
+
     /// Returns the feedback of a call for the selector, and tracks the response time of a good answer.
     pub(super) fn feedback(
         &mut self,
@@ -254,12 +262,15 @@
                 LeafFeedback::Success(tracker.slowness(response))
             }
             CallOutcome::Answer(_) | CallOutcome::Segment(_) => LeafFeedback::Failed,
-            CallOutcome::NotRun(proof) if proof.cause() == NotRunCause::Refused => {
-                LeafFeedback::Refused
-            }
-            CallOutcome::NotRun(_) | CallOutcome::Broken | CallOutcome::TooLarge => {
-                LeafFeedback::ConnectionLost
-            }
+            CallOutcome::NotRun(proof) => match proof.cause() {
+                NotRunCause::Refused => LeafFeedback::Refused,
+                NotRunCause::Withdrawn => self.cancelled_feedback(call, response),
+                NotRunCause::Misdirected
+                | NotRunCause::Unsent
+                | NotRunCause::Unchecked
+                | NotRunCause::Displaced => LeafFeedback::ConnectionLost,
+            },
+            CallOutcome::Broken | CallOutcome::TooLarge => LeafFeedback::ConnectionLost,
         }
     }
 
@@ -280,6 +291,7 @@
                 NotRunCause::Unsent | NotRunCause::Unchecked => {
                     self.directory.note_connection_loss(call.leaf)
                 }
+                NotRunCause::Withdrawn => {}
             },
             CallOutcome::Broken | CallOutcome::TooLarge => {
                 self.directory.note_connection_loss(call.leaf);
@@ -332,6 +344,7 @@
                 NotRunCause::Unsent => self.counts.unsent += 1,
                 NotRunCause::Unchecked => self.counts.unchecked += 1,
                 NotRunCause::Displaced => self.counts.displaced += 1,
+                NotRunCause::Withdrawn => self.counts.withdrawn += 1,
             },
             CallOutcome::Broken | CallOutcome::TooLarge => self.counts.broken += 1,
         }
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -124,6 +124,8 @@
     pub unchecked: u64,
     /// Calls that were not sent since another leaf has the address.
     pub displaced: u64,
+    /// Calls that were taken back before any of them was written.
+    pub withdrawn: u64,
     /// Leafs that said in an answer that they are leaving.
     pub leaving: u64,
     /// Breaks that leafs asked for, extensions included.
--- a/crates/edge/src/edge/timers.rs
+++ b/crates/edge/src/edge/timers.rs
@@ -142,7 +142,8 @@
         }
     }
 
-    /// Replies to a request. Its open calls may go on for [`LINGER_TIME`].
+    /// Replies to a request. Its open calls may go on for [`LINGER_TIME`], but one that may run at most once must not be
+    /// written after the reply.
     pub(super) fn finish(&mut self, token: Token, reply: Reply, now: Time, out: &mut Vec<Action>) {
         let Some(request) = self.pending.remove(&token) else {
             return;
@@ -152,12 +153,11 @@
         if let Some(admission) = self.admission(&request) {
             admission.end(request.unloaded_time, load_signal);
         }
-        for id in request
-            .shards
-            .iter()
-            .flat_map(|shard| shard.open_calls.iter())
-        {
-            self.linger_timers.push(Reverse((now + LINGER_TIME, *id)));
+        for id in request.open_calls() {
+            if !request.is_idempotent() {
+                out.push(Action::Withhold(id));
+            }
+            self.linger_timers.push(Reverse((now + LINGER_TIME, id)));
         }
         out.push(Action::Reply(token, reply, request.summary(now)));
     }
--- a/crates/edge/src/proof.rs
+++ b/crates/edge/src/proof.rs
@@ -27,6 +27,8 @@
     Unchecked,
     /// Nothing of the call was written: another leaf has the address.
     Displaced,
+    /// Nothing of the call was written: it was taken back, for no fault of the leaf.
+    Withdrawn,
 }
 
 impl NotRunCause {
@@ -38,6 +40,7 @@
             Self::Unsent => "unsent",
             Self::Unchecked => "unchecked",
             Self::Displaced => "displaced",
+            Self::Withdrawn => "withdrawn",
         }
     }
 
@@ -45,7 +48,7 @@
     pub(crate) fn has_arrived(self) -> bool {
         match self {
             Self::Refused | Self::Misdirected => true,
-            Self::Unsent | Self::Unchecked | Self::Displaced => false,
+            Self::Unsent | Self::Unchecked | Self::Displaced | Self::Withdrawn => false,
         }
     }
 }
@@ -66,7 +69,7 @@
 /// `UnwrittenCause` is why nothing of a call was written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UnwrittenCause {
-    /// There was no connection, or it closed before, or the call was taken back.
+    /// There was no connection, or it closed before.
     Unsent,
     /// The process at the address did not report its name in time.
     Unchecked,
@@ -74,30 +77,54 @@
     Displaced,
 }
 
-/// `WriteMark` tells whether any of a call may have been written. Clones share the mark.
+/// `WriteMark` tells whether any of a call may have been written, and whether it still may be. Clones share the mark.
 #[derive(Clone, Debug, Default)]
-pub struct WriteMark(Rc<Cell<bool>>);
+pub struct WriteMark(Rc<WriteState>);
+
+#[derive(Debug, Default)]
+struct WriteState {
+    has_begun: Cell<bool>,
+    /// Never reset: a call that was taken back is not written any more.
+    is_withdrawn: Cell<bool>,
+}
 
 impl WriteMark {
-    /// Records that writing the call begins.
-    pub fn begin(&self) {
-        self.0.set(true);
+    /// Records that writing the call begins. Returns `false`, and records nothing, if it was taken back: then none of
+    /// it may be written.
+    #[must_use]
+    pub fn begin(&self) -> bool {
+        if self.is_withdrawn() {
+            return false;
+        }
+        self.0.has_begun.set(true);
+        true
     }
 
     /// Records that the whole call was handed back unwritten.
     pub fn take_back<M>(&self, _message: &M) {
-        self.0.set(false);
+        self.0.has_begun.set(false);
+    }
+
+    /// Takes the call back: writing it cannot begin any more. What has begun goes on.
+    pub fn withdraw(&self) {
+        self.0.is_withdrawn.set(true);
+    }
+
+    /// Returns whether the call was taken back.
+    pub fn is_withdrawn(&self) -> bool {
+        self.0.is_withdrawn.get()
     }
 
     /// Returns the proof that the call has not run, unless some of it may have been written. Whoever holds the proof
     /// must not write the call any more.
     pub fn unwritten(&self, cause: UnwrittenCause) -> Option<NotRun> {
         let cause = match cause {
+            _ if self.is_withdrawn() => NotRunCause::Withdrawn,
             UnwrittenCause::Unsent => NotRunCause::Unsent,
             UnwrittenCause::Unchecked => NotRunCause::Unchecked,
             UnwrittenCause::Displaced => NotRunCause::Displaced,
         };
-        (!self.0.get()).then_some(NotRun { cause })
+        (!self.0.has_begun.get()).then_some(NotRun { cause })
     }
 }
 
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -185,6 +185,12 @@
         self.route.repeat == Repeat::Idempotent
     }
 
+    /// Returns the calls under way.
+    pub(crate) fn open_calls(&self) -> impl Iterator<Item = CallId> + '_ {
+        let shards = self.shards.iter();
+        shards.flat_map(|shard| shard.open_calls.iter().copied())
+    }
+
     /// Returns how the answers of shards are merged; `None` for a request to a single leaf.
     pub(crate) fn gather(&self) -> Option<Gather> {
         match &self.route.target {
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -151,6 +151,14 @@
     unwritten(UnwrittenCause::Unsent)
 }
 
+/// Returns the outcome of a call that was taken back before any of it was written.
+pub fn withdrawn() -> CallOutcome {
+    let mark = WriteMark::default();
+    mark.withdraw();
+    let proof = mark.unwritten(UnwrittenCause::Unsent);
+    CallOutcome::NotRun(proof.expect("nothing was written"))
+}
+
 /// Returns the outcome of a call whose leaf did not report its name.
 pub fn unchecked() -> CallOutcome {
     unwritten(UnwrittenCause::Unchecked)
--- a/crates/edge/tests/exchange.rs
+++ b/crates/edge/tests/exchange.rs
@@ -132,8 +132,25 @@
     let shared = mark.clone();
     let is_proved = |mark: &WriteMark| mark.unwritten(UnwrittenCause::Unsent).is_some();
     assert!(is_proved(&shared));
-    mark.begin();
+    assert!(mark.begin());
     assert!(!is_proved(&shared));
     mark.take_back(&"the whole call");
     assert!(is_proved(&shared));
 }
+
+/// Guards against a call that is written after it was taken back: when it had been handed back whole by a closed
+/// connection, for another try on a new one.
+#[test]
+fn withdrawn_call_is_not_written_again() {
+    let mark = WriteMark::default();
+    assert!(mark.begin());
+    mark.withdraw();
+    assert!(mark.unwritten(UnwrittenCause::Unsent).is_none());
+    mark.take_back(&"the whole call");
+    assert!(!mark.begin());
+    let proof = mark.unwritten(UnwrittenCause::Unsent);
+    assert_eq!(
+        proof.map(|proof| proof.cause()),
+        Some(NotRunCause::Withdrawn)
+    );
+}
--- a/crates/edge/tests/serve.rs
+++ b/crates/edge/tests/serve.rs
@@ -6,9 +6,10 @@
 
 use common::{
     Node, config, failure, fan_out_route, leaf, misdirected, refused, service_route, shard,
-    success, unsent,
+    success, unsent, withdrawn,
 };
-use monsoondeal_edge::{CallOutcome, LeafEntry, Repeat, Reply, RequestEvent};
+use monsoondeal_core::CallId;
+use monsoondeal_edge::{CallOutcome, LeafEntry, Repeat, Reply, RequestEvent, Token};
 use rstest::rstest;
 
 fn replicas(shards: usize) -> Vec<LeafEntry> {
@@ -300,6 +301,76 @@
     assert_eq!(node.edge.open_calls(), 0);
 }
 
+/// Guards against orders that reach a leaf long after their callers have left (GONE): a call that is not written yet is
+/// taken back, and the leaf is not blamed for it.
+#[test]
+fn caller_gone_takes_back_unwritten_at_most_once_call() {
+    let mut node = service_node(Repeat::AtMostOnce);
+    node.request("r");
+    node.answer_all_except(|_| false);
+    let token = node.request("r");
+    let call = node.calls[0].clone();
+    node.apply(|edge, now, out| edge.caller_gone(token, now, out));
+    assert!(node.withheld.contains(&call.call));
+    node.end_call(call.call, withdrawn());
+    assert_eq!(node.edge.open_calls(), 0);
+    let counts = node.edge.counts();
+    assert_eq!((counts.withdrawn, counts.unsent), (1, 0));
+    // A leaf without blame is not checked again before its next call, and is not avoided.
+    for _ in 0..2 {
+        node.request("r");
+    }
+    let again = node.calls.iter().find(|next| next.leaf == call.leaf);
+    assert_eq!(again.map(|next| next.is_verified), Some(call.is_verified));
+}
+
+/// Guards against orders that wait and are sent after their callers have left (GONE), whatever they wait for.
+#[rstest]
+#[case::for_a_connection_slot(1, |node: &mut Node, first: CallId| {
+    node.end_call(first, success("1"));
+})]
+#[case::between_two_tries(6, |node: &mut Node, _| {
+    while let Some(call) = node.calls.first() {
+        let id = call.call;
+        node.end_call(id, refused());
+    }
+})]
+fn caller_gone_while_waiting_sends_no_call(
+    #[case] connections: usize,
+    #[case] release: fn(&mut Node, CallId),
+) {
+    let route = service_route("r", "s", Repeat::AtMostOnce);
+    let leafs = vec![leaf("one", "s")];
+    let mut node = Node::new(config(1, vec![route], connections), leafs);
+    node.request("r");
+    let first = node.calls[0].call;
+    let waiting = match connections {
+        1 => node.request("r"),
+        _ => {
+            let id = node.calls[0].call;
+            node.end_call(id, refused());
+            Token(0)
+        }
+    };
+    let sent = node.edge.counts().calls;
+    node.apply(|edge, now, out| edge.caller_gone(waiting, now, out));
+    release(&mut node, first);
+    node.run_for(Duration::from_secs(2));
+    assert_eq!(node.edge.counts().calls, sent);
+}
+
+/// Guards against orders that reach a leaf after their caller was told that they were not answered in time: the end of
+/// a request takes back a call that is not written yet.
+#[test]
+fn timed_out_request_takes_back_unwritten_at_most_once_call() {
+    let mut node = service_node(Repeat::AtMostOnce);
+    let token = node.request_with_timeout("r", Duration::from_secs(1));
+    let call = node.calls[0].call;
+    node.run_for(Duration::from_millis(1_001));
+    assert!(matches!(node.reply(token), Some(Reply::TimedOut)));
+    assert!(node.withheld.contains(&call));
+}
+
 #[test]
 fn request_without_route_or_configuration() {
     let mut node = query_node(4, 0.75);
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -23,7 +23,7 @@
 ];
 
 /// All counters.
-pub(crate) const COUNTERS: [Counter<MetricValues>; 24] = [
+pub(crate) const COUNTERS: [Counter<MetricValues>; 25] = [
     ("requests", "Requests of callers", |v| v.counts.requests),
     ("answered", "Requests answered in full", |v| {
         v.counts.answered
@@ -90,6 +90,11 @@
         "Calls not sent since another leaf has the address",
         |v| v.counts.displaced,
     ),
+    (
+        "withdrawn",
+        "Calls taken back before any of them was written, as their caller had left or their leaf wants none",
+        |v| v.counts.withdrawn,
+    ),
     (
         "leaving",
         "Leafs that said in an answer that they are leaving",
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -264,8 +264,8 @@
         match event {
             Event::Request(inbound, sender) => self.on_request(*inbound, sender),
             Event::CallerGone(token) => {
-                self.requests.remove(&token);
                 self.step(|edge, now, out| edge.caller_gone(token, now, out));
+                self.requests.remove(&token);
             }
             Event::CallEnded(call, outcome, connection) => {
                 if let Some(open_call) = self.calls.remove(&call) {
@@ -529,14 +529,21 @@
         self.calls.insert(id, open_call);
     }
 
-    /// Ends a call as not sent if nothing of it has been written.
+    /// Ends a call as taken back if nothing of it has been written.
     fn withhold(&mut self, call: CallId) {
-        let open_call = self.calls.get(&call);
-        let proof = open_call.and_then(|open| open.write.unwritten(UnwrittenCause::Unsent));
+        let Some(open_call) = self.calls.get(&call) else {
+            return;
+        };
+        open_call.write.withdraw();
+        let proof = open_call.write.unwritten(UnwrittenCause::Unsent);
+        if let Some(leaf) = self.edge.directory().entry(open_call.leaf) {
+            let id = String::from_utf8_lossy(&open_call.inbound.id);
+            self.request_log.withheld(&id, leaf, proof.is_none());
+        }
         let Some(proof) = proof else {
             return;
         };
-        // Ends the task, so that the call is not written any more.
+        // Ends the task, and with it the attempt to open a connection.
         self.calls.remove(&call);
         let end = ConnectionEnd::Closed(CloseCause::Failed);
         let event = Event::CallEnded(call, CallOutcome::NotRun(proof), end);
@@ -555,7 +562,10 @@
         match proof.cause() {
             NotRunCause::Misdirected => self.request_log.misdirected(&id, intended),
             NotRunCause::Displaced => self.request_log.displaced(&id, intended),
-            NotRunCause::Refused | NotRunCause::Unsent | NotRunCause::Unchecked => {}
+            NotRunCause::Refused
+            | NotRunCause::Unsent
+            | NotRunCause::Unchecked
+            | NotRunCause::Withdrawn => {}
         }
     }
 
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -214,6 +214,9 @@
         is_verified = false;
         match write(connection.link, request, task).await {
             Ok((link, response)) => return read_answer(link, response, task).await,
+            Err(WriteError::Unwritten(_)) if task.write.is_withdrawn() => {
+                return closed(task.unwritten(UnwrittenCause::Unsent));
+            }
             Err(WriteError::Unwritten(unsent)) => request = *unsent,
             Err(WriteError::Lost(error)) => return failed(&error),
         }
@@ -257,7 +260,9 @@
     request: Request<Full<Bytes>>,
     task: &CallTask,
 ) -> Result<(Link, Response<Incoming>), WriteError> {
-    task.write.begin();
+    if !task.write.begin() {
+        return Err(WriteError::Unwritten(Box::new(request)));
+    }
     link.exchanges.begin(&task.inbound.id);
     match link.sender.try_send_request(request).await {
         Ok(response) => Ok((link, response)),
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -95,6 +95,10 @@
             } => {
                 log::info!(id, service:% = service, cause, repeat = is_repeat; "call retried");
             }
+            RequestEvent::CallerLeft { calls, waited } => {
+                let micros = waited.as_micros() as u64;
+                log::info!(id, calls, micros; "caller left");
+            }
             RequestEvent::UnknownPlan {
                 plan,
                 asked_version,
@@ -111,6 +115,14 @@
         }
     }
 
+    /// Logs that a call was to be taken back, and whether it runs on since some of it may have been written.
+    pub(crate) fn withheld(&mut self, id: &str, leaf: &LeafEntry, runs_on: bool) {
+        if !self.admit() {
+            return;
+        }
+        log::info!(id, service:% = leaf.service, leaf:% = leaf.name, runs_on; "call taken back");
+    }
+
     /// Logs that a call reached another leaf at the address of the intended one.
     pub(crate) fn misdirected(&mut self, id: &str, intended: &LeafEntry) {
         if !self.admit() {
--- a/crates/gateway/tests/cancelled_calls.rs
+++ b/crates/gateway/tests/cancelled_calls.rs
@@ -8,8 +8,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{Gateway, read_head, request_text, write};
+use common::{
+    Gateway, Leaf, answer_correctly, read_head, request_text, reset_on_close, wait_until, write,
+};
 use monsoondeal_edge::Repeat;
+use rstest::rstest;
 
 /// Longest wait for the end of a connection, and for its reset after that.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -65,3 +68,48 @@
     let is_reset = resets.recv_timeout(WAIT_TIMEOUT * 2);
     assert!(is_reset.expect("the call is cancelled"));
 }
+
+/// Time after which a busy leaf tells its name.
+const CHECK_TIME: Duration = Duration::from_millis(700);
+
+/// Tells its name late, as a leaf whose slots are busy does, and answers calls at once.
+fn tell_name_late(stream: &mut TcpStream, head: &str) {
+    if head.starts_with("GET /health ") {
+        thread::sleep(CHECK_TIME);
+    }
+    answer_correctly(stream, head);
+}
+
+/// Guards against orders that reach a leaf long after their caller has left (GONE): the call waits for the leaf to tell
+/// its name when the caller leaves, by a reset or by a close. The identity check is the only thing that arrives.
+#[rstest]
+#[case::closes(false, "")]
+#[case::resets(true, "")]
+#[case::closes_without_an_answer_to_come(false, "connection: close\r\n")]
+fn unwritten_order_of_a_gone_caller_is_taken_back(#[case] resets: bool, #[case] fields: &str) {
+    let leaf = Leaf::start(tell_name_late);
+    let gateway = Gateway::with_checked_addrs(Repeat::AtMostOnce, vec![leaf.addr]);
+    let mut caller = TcpStream::connect(gateway.front).expect("a gateway");
+    if resets {
+        reset_on_close(&caller);
+    }
+    write(&mut caller, &request_text("order", "/r/x", fields));
+    wait_until(|| leaf.arrivals() == 1);
+    drop(caller);
+    thread::sleep(CHECK_TIME * 2);
+    assert_eq!(leaf.arrivals(), 1, "the order arrived");
+    // The leaf serves the next order.
+    assert!(gateway.request("next").starts_with("HTTP/1.1 200"));
+}
+
+/// An order that has been written may run: its connection stays open for the answer after the caller has left.
+#[test]
+fn written_order_of_a_gone_caller_runs_on() {
+    let (addr, resets) = silent_leaf();
+    let gateway = Gateway::with_addrs(Repeat::AtMostOnce, vec![addr]);
+    let mut caller = TcpStream::connect(gateway.front).expect("a gateway");
+    write(&mut caller, &request_text("id", "/r/x", ""));
+    thread::sleep(Duration::from_millis(200));
+    drop(caller);
+    assert!(resets.recv_timeout(Duration::from_millis(800)).is_err());
+}
