--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -5,6 +5,7 @@
 use monsoondeal_edge::Counts;
 use monsoondeal_node::metrics::{Counter, Gauge};
 
+use crate::connections::RoomCounts;
 use crate::logs::millis;
 
 /// Values that the exported metrics are read from.
@@ -13,6 +14,12 @@
     pub(crate) counts: Counts,
     /// Connections to leafs that were closed for a fault of their answers.
     pub(crate) faulty_ends: u64,
+    /// What was done to make room for connections of callers and of other nodes.
+    pub(crate) room: RoomCounts,
+    /// Connections that could not be accepted, on all listeners.
+    pub(crate) accept_failures: u64,
+    /// Open connections of callers.
+    pub(crate) caller_connections: usize,
     /// How long ago the configuration was last confirmed to be the newest one.
     pub(crate) config_age: Option<Duration>,
 }
@@ -23,7 +30,7 @@
 ];
 
 /// All counters.
-pub(crate) const COUNTERS: [Counter<MetricValues>; 25] = [
+pub(crate) const COUNTERS: [Counter<MetricValues>; 28] = [
     ("requests", "Requests of callers", |v| v.counts.requests),
     ("answered", "Requests answered in full", |v| {
         v.counts.answered
@@ -48,6 +55,21 @@
         "Connections to leafs closed since answers could not be told apart or took too much memory",
         |v| v.faulty_ends,
     ),
+    (
+        "connections_closed",
+        "Connections without a request closed to make room for others",
+        |v| v.room.closed,
+    ),
+    (
+        "connections_turned_away",
+        "Connections closed unread since all others had requests under way",
+        |v| v.room.turned_away,
+    ),
+    (
+        "accept_failures",
+        "Connections that could not be accepted, as for want of descriptors",
+        |v| v.accept_failures,
+    ),
     (
         "unknown_plans",
         "Segments asked for by nodes with another configuration, not run",
@@ -106,8 +128,13 @@
 ];
 
 /// All gauges.
-pub(crate) const GAUGES: [Gauge<MetricValues>; 1] = [(
-    "config_age_ms",
-    "Time since the configuration was known to be the newest one, -1 before that",
-    |v| millis(v.config_age),
-)];
+pub(crate) const GAUGES: [Gauge<MetricValues>; 2] = [
+    (
+        "config_age_ms",
+        "Time since the configuration was known to be the newest one, -1 before that",
+        |v| millis(v.config_age),
+    ),
+    ("caller_connections", "Open connections of callers", |v| {
+        v.caller_connections as i64
+    }),
+];
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -115,6 +115,8 @@
     Request(Box<InboundRequest>, oneshot::Sender<Reply>),
     /// The caller disconnected before the reply.
     CallerGone(Token),
+    /// There was no descriptor for a connection to a leaf.
+    DescriptorShortage,
     /// A leaf, given by its name and start, said something about itself in an answer.
     LeafNotice(Name, u64, LeafNotice),
     /// A call ended, and so did its connection or not.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -6,14 +6,14 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
+use compio::net::TcpStream;
 use compio::time::sleep;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
-use futures_util::future::{Either, Shared, pending, select};
+use futures_util::future::{Either, Shared, select};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
@@ -22,10 +22,11 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use monsoondeal_edge::{Answer, Limits, Reply, Token};
+use monsoondeal_node::accept::{Acceptor, is_shortage};
 use monsoondeal_node::ask::ask_or_cancel;
-use monsoondeal_node::open_guard::OpenGuard;
 use monsoondeal_node::stream::Stream;
 
+use crate::connections::{Activity, Admission, ConnectionTable};
 use crate::event::{Event, EventSender, InboundRequest, Purpose};
 use crate::hub::stopping_reply;
 use crate::leafs::strip_connection_fields;
@@ -50,8 +51,8 @@
     pub(crate) limits: Rc<Cell<Limits>>,
     /// Set while the node stops: each response then closes its connection.
     pub(crate) is_stopping: Rc<Cell<bool>>,
-    /// Open connections of callers.
-    pub(crate) open_connections: Rc<Cell<usize>>,
+    /// Open connections of the listener.
+    pub(crate) connections: Rc<ConnectionTable>,
     /// Whether the connections are those of other nodes.
     is_peer: bool,
     /// Once it resolves, no more connections are accepted and idle ones are closed.
@@ -61,12 +62,17 @@
 }
 
 impl FrontState {
-    pub(crate) fn new(names: Rc<HeaderNames>, close: oneshot::Receiver<()>) -> Self {
+    /// Creates the state for connections of callers.
+    pub(crate) fn new(
+        names: Rc<HeaderNames>,
+        connections: Rc<ConnectionTable>,
+        close: oneshot::Receiver<()>,
+    ) -> Self {
         Self {
             names,
             limits: Rc::new(Cell::new(Limits::default())),
             is_stopping: Rc::default(),
-            open_connections: Rc::default(),
+            connections,
             is_peer: false,
             close: close.shared(),
             tokens: Rc::default(),
@@ -74,10 +80,10 @@
     }
 
     /// Returns the state for connections of other nodes. A planned stop does not wait for them to close.
-    pub(crate) fn for_peers(&self) -> Self {
+    pub(crate) fn for_peers(&self, connections: Rc<ConnectionTable>) -> Self {
         Self {
             is_peer: true,
-            open_connections: Rc::default(),
+            connections,
             ..self.clone()
         }
     }
@@ -90,67 +96,27 @@
 }
 
 /// Accepts connections until `state.close` resolves.
-pub(crate) async fn listen(listener: TcpListener, state: FrontState, events: EventSender) {
+pub(crate) async fn listen(mut acceptor: Acceptor, state: FrontState, events: EventSender) {
     loop {
-        let accept = pin!(listener.accept());
+        let accept = pin!(acceptor.accept());
         match select(accept, state.close.clone()).await {
-            Either::Left((Ok((stream, _)), _)) => {
-                let connection = serve(stream, state.clone(), events.clone());
-                compio::runtime::spawn(connection).detach();
+            Either::Left((Ok(stream), _)) => {
+                // Without room the connection is closed unread.
+                if let Some(admission) = state.connections.admit() {
+                    let connection = serve(stream, state.clone(), events.clone(), admission);
+                    compio::runtime::spawn(connection).detach();
+                }
+            }
+            Either::Left((Err(error), _)) => {
+                if is_shortage(&error) {
+                    state.connections.make_room();
+                }
             }
-            Either::Left((Err(error), _)) => log::warn!("cannot accept a connection: {error}"),
             Either::Right(_) => return,
         }
     }
 }
 
-/// Activity of a connection, for its timeouts.
-#[derive(Debug)]
-struct Activity {
-    /// Whether no request has been read yet.
-    is_new: Cell<bool>,
-    /// Whether a request is being served.
-    is_busy: Cell<bool>,
-    /// When the last response was ready, or the connection was opened.
-    idle_since: Cell<Instant>,
-    /// When the first byte of the request head that is being read arrived.
-    head_since: Cell<Option<Instant>>,
-}
-
-impl Activity {
-    fn new() -> Self {
-        Self {
-            is_new: Cell::new(true),
-            is_busy: Cell::new(false),
-            idle_since: Cell::new(Instant::now()),
-            head_since: Cell::new(None),
-        }
-    }
-
-    /// Records the start of a request and returns whether it is the first one.
-    fn start(&self) -> bool {
-        self.is_busy.set(true);
-        self.head_since.set(None);
-        self.is_new.replace(false)
-    }
-
-    fn end(&self) {
-        self.is_busy.set(false);
-        self.idle_since.set(Instant::now());
-    }
-
-    /// Returns whether the connection has been idle, or slow to send a head, for too long.
-    fn is_expired(&self, limits: &Limits) -> bool {
-        if self.is_busy.get() {
-            return false;
-        }
-        match self.head_since.get() {
-            Some(since) => since.elapsed() > limits.head_timeout,
-            None => self.idle_since.get().elapsed() > limits.idle_timeout,
-        }
-    }
-}
-
 /// A stream that records when the first byte of a request arrives.
 struct ActivityStream {
     stream: Stream,
@@ -164,9 +130,8 @@
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let activity = &self.activity;
-        if polled.is_ready() && !activity.is_busy.get() && activity.head_since.get().is_none() {
-            activity.head_since.set(Some(Instant::now()));
+        if polled.is_ready() {
+            self.activity.on_read();
         }
         polled
     }
@@ -190,22 +155,36 @@
     }
 }
 
-async fn serve(stream: TcpStream, state: FrontState, events: EventSender) {
-    let _open = OpenGuard::new(&state.open_connections);
+/// Why a connection is looked at while nothing happens on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wake {
+    /// Its timeouts are to be checked.
+    Timer,
+    /// The node stops.
+    Stop,
+    /// Others need room.
+    MakeRoom,
+}
+
+async fn serve(stream: TcpStream, state: FrontState, events: EventSender, admission: Admission) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on a connection of a caller: {error}");
     }
-    let activity = Rc::new(Activity::new());
+    let Admission {
+        activity,
+        closing,
+        _slot,
+    } = admission;
     let stream = ActivityStream {
         stream: Stream::new(stream),
         activity: activity.clone(),
     };
     let service = service_fn(|request| {
-        let is_first = activity.start();
         let (state, events, activity) = (state.clone(), events.clone(), activity.clone());
+        let is_first = activity.on_head();
         async move {
-            let response = handle(request, is_first, &state, &events).await;
-            activity.end();
+            let response = handle(request, is_first, &activity, &state, &events).await;
+            activity.on_response();
             Ok::<_, Infallible>(response)
         }
     });
@@ -216,35 +195,29 @@
             .max_headers(MAX_HEADER_FIELDS)
             .serve_connection(stream, service)
     );
-    // Must not be polled again once it has resolved.
-    let mut close = Some(state.close.clone());
+    let mut stop = pin!(state.close.clone().fuse());
+    let mut closing = pin!(closing.fuse());
     loop {
         let timer = pin!(sleep(IDLE_CHECK_INTERVAL));
-        let closed = pin!(async {
-            match close.as_mut() {
-                Some(close) => drop(close.await),
-                None => pending().await,
-            }
-        });
-        let wake = select(timer, closed);
-        let is_closing = match select(connection.as_mut(), wake).await {
+        let asked = select(stop.as_mut(), closing.as_mut());
+        let wake = match select(connection.as_mut(), select(timer, asked)).await {
             Either::Left((ended, _)) => {
                 if let Err(error) = ended {
                     log::debug!("connection of a caller ended: {error}");
                 }
                 return;
             }
-            Either::Right((Either::Left(_), _)) => false,
-            Either::Right((Either::Right(_), _)) => true,
+            Either::Right((Either::Left(_), _)) => Wake::Timer,
+            Either::Right((Either::Right((Either::Left(_), _)), _)) => Wake::Stop,
+            Either::Right((Either::Right((Either::Right(_), _)), _)) => Wake::MakeRoom,
         };
-        if is_closing {
-            close = None;
-        }
         let is_expired = activity.is_expired(&state.limits.get());
-        if is_expired && activity.head_since.get().is_some() {
+        let is_unwanted = is_expired || wake == Wake::MakeRoom;
+        // Nothing would end these connections but their callers.
+        if is_unwanted && (activity.is_reading() || activity.is_unused()) {
             return;
         }
-        if is_closing || is_expired {
+        if is_unwanted || wake == Wake::Stop {
             connection.as_mut().graceful_shutdown();
         }
     }
@@ -253,6 +226,7 @@
 async fn handle(
     request: Request<Incoming>,
     is_first: bool,
+    activity: &Activity,
     state: &FrontState,
     events: &EventSender,
 ) -> Response<Body> {
@@ -260,11 +234,12 @@
     let segment = request.headers().get(segment::SEGMENT_CALL).cloned();
     let segment = segment.filter(|_| state.is_peer);
     let mut response = match read_request(request, is_first, state).await {
-        Ok(inbound) => match submit(inbound, events).await {
-            Some(reply) => respond(reply, state),
-            // The hub has ended before it handled the request.
-            None => respond(stopping_reply(), state),
-        },
+        Ok(inbound) => {
+            activity.on_request();
+            let reply = submit(inbound, events).await;
+            // Without a reply the hub has ended before it handled the request.
+            respond(reply.unwrap_or_else(stopping_reply), state)
+        }
         Err(response) => response,
     };
     if let Some(id) = id {
@@ -277,7 +252,7 @@
             .headers_mut()
             .insert(segment::SEGMENT_CALL, segment);
     }
-    if state.is_stopping.get() {
+    if state.is_stopping.get() || state.connections.is_crowded() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -18,11 +18,13 @@
     SegmentHead, Summary, Token, UnwrittenCause, WriteMark,
 };
 
+use monsoondeal_node::accept::Acceptor;
 use monsoondeal_node::budget::ReadBudget;
 use monsoondeal_node::client::MAX_ANSWERS_BYTES;
 use monsoondeal_node::metrics::Metrics;
 use monsoondeal_node::signals::SignalReceiver;
 
+use crate::connections::{ConnectionShares, ConnectionTable};
 use crate::counters::{self, MetricValues};
 use crate::error::GatewayError;
 use crate::event::{
@@ -71,20 +73,30 @@
     let followers = bind("followers", settings.updates).await?;
     let names = Rc::new(settings.headers.clone());
     let (close, closed) = oneshot::channel();
-    let state = FrontState::new(names.clone(), closed);
+    let shares = ConnectionShares::new(settings.descriptors);
+    let callers = ConnectionTable::new("callers", shares.callers);
+    let nodes = ConnectionTable::new("nodes", shares.peers);
+    let state = FrontState::new(names.clone(), callers, closed);
+    let peer_state = state.for_peers(nodes.clone());
+    let accept_failures = Rc::new(Cell::new(0));
+    let acceptor = |purpose, listener| Acceptor::new(purpose, listener, accept_failures.clone());
     let is_ready = Rc::new(Cell::new(false));
+    let front = acceptor("callers", front);
     spawn(front::listen(front, state.clone(), events.clone())).detach();
-    spawn(front::listen(peers, state.for_peers(), events.clone())).detach();
+    let peers = acceptor("nodes", peers);
+    spawn(front::listen(peers, peer_state, events.clone())).detach();
     spawn(admin::listen_ready(
-        readiness,
+        acceptor("readiness", readiness),
+        shares.pages,
         settings.ready_path,
         is_ready.clone(),
     ))
     .detach();
-    spawn(admin::listen(admin, events.clone())).detach();
+    let admin = acceptor("operators", admin);
+    spawn(admin::listen(admin, shares.pages, events.clone())).detach();
     Relay::start(
         &settings.vm,
-        followers,
+        (acceptor("followers", followers), shares.followers),
         updates,
         reader_modes,
         events.clone(),
@@ -92,7 +104,8 @@
     spawn(forward(stop, |()| Event::Stop, events.clone())).detach();
     log::info!(
         vm:% = settings.vm, domain:% = settings.domain,
-        callers:% = settings.front, operators:% = settings.admin;
+        callers:% = settings.front, operators:% = settings.admin,
+        descriptors = settings.descriptors, max_callers = shares.callers;
         "started"
     );
 
@@ -102,6 +115,8 @@
         events,
         names,
         front: state,
+        nodes,
+        accept_failures,
         is_ready,
         metrics: Metrics::new(
             &counters::COUNTERS,
@@ -202,6 +217,10 @@
     events: EventSender,
     names: Rc<HeaderNames>,
     front: FrontState,
+    /// Connections of nodes that ask for segments.
+    nodes: Rc<ConnectionTable>,
+    /// Connections that could not be accepted.
+    accept_failures: Rc<Cell<u64>>,
     is_ready: Rc<Cell<bool>>,
     metrics: Metrics<MetricValues>,
     request_log: RequestLog,
@@ -267,6 +286,7 @@
                 self.step(|edge, now, out| edge.caller_gone(token, now, out));
                 self.requests.remove(&token);
             }
+            Event::DescriptorShortage => self.make_room(),
             Event::CallEnded(call, outcome, connection) => {
                 if let Some(open_call) = self.calls.remove(&call) {
                     self.log_call_end(&open_call, &outcome);
@@ -422,10 +442,18 @@
         let StopStage::Draining(since) = self.stop_stage else {
             return false;
         };
-        let is_idle = self.front.open_connections.get() == 0 && self.edge.open_requests() == 0;
+        let is_idle = self.front.connections.len() == 0 && self.edge.open_requests() == 0;
         is_idle || self.clock.now().since(since) >= self.stop_settings.max_duration
     }
 
+    /// Closes connections that nothing is under way on, so that calls to leafs can be sent.
+    fn make_room(&mut self) {
+        let closed = self.front.connections.make_room() + self.nodes.make_room();
+        if closed == 0 {
+            self.idle.clear();
+        }
+    }
+
     /// Passes an input to the state machine, and executes the resulting actions.
     fn step<F>(&mut self, act: F)
     where
@@ -611,6 +639,9 @@
         MetricValues {
             counts: self.edge.counts(),
             faulty_ends: self.faulty_ends,
+            room: self.front.connections.counts() + self.nodes.counts(),
+            accept_failures: self.accept_failures.get(),
+            caller_connections: self.front.connections.len(),
             config_age: self.config_age(),
         }
     }
@@ -626,7 +657,7 @@
             "requests": self.edge.open_requests(),
             "calls": self.edge.open_calls(),
             "idle_connections": self.idle.values().map(Vec::len).sum::<usize>(),
-            "caller_connections": self.front.open_connections.get(),
+            "caller_connections": self.front.connections.len(),
             "counts": self.edge.counts(),
         })
     }
--- a/crates/gateway/src/leafs.rs
+++ b/crates/gateway/src/leafs.rs
@@ -12,6 +12,7 @@
     Answer, AnswerHead, Attribution, CallOutcome, Exchanges, LeafCall, LeafNotice, NotRunCause,
     OwnAnswer, SegmentAnswer, UnwrittenCause, WriteMark,
 };
+use monsoondeal_node::accept::is_shortage;
 use monsoondeal_node::budget::{AnswerMemory, ReadBudget, ReadLimits};
 use monsoondeal_node::client::{AnswerError, MAX_ANSWER_BYTES, Sender, handshake, read_held_body};
 
@@ -280,9 +281,7 @@
 /// checked first, where its service has a check path.
 async fn open_verified(task: &CallTask, is_verified: bool) -> Result<Link, UnwrittenCause> {
     let call = &task.call;
-    let mut link = open(call, &task.budget)
-        .await
-        .ok_or(UnwrittenCause::Unsent)?;
+    let mut link = open(task).await.ok_or(UnwrittenCause::Unsent)?;
     let path = match &call.check_path {
         Some(path) if !is_verified => path,
         _ => return Ok(link),
@@ -305,12 +304,21 @@
         return Ok(link);
     }
     // Some leafs close the connection after their answer.
-    open(call, &task.budget).await.ok_or(UnwrittenCause::Unsent)
+    open(task).await.ok_or(UnwrittenCause::Unsent)
 }
 
-async fn open(call: &LeafCall, budget: &ReadBudget) -> Option<Link> {
+async fn open(task: &CallTask) -> Option<Link> {
+    let (call, budget, events) = (&task.call, &task.budget, &task.events);
     let limit = CONNECT_TIMEOUT.min(call.timeout);
-    let stream = dial::connect(call.addr, limit).await.ok()?;
+    let stream = match dial::connect(call.addr, limit).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            if is_shortage(&error) {
+                send(events, Event::DescriptorShortage);
+            }
+            return None;
+        }
+    };
     // A cancelled call must not be delivered later, as additional load on the leaf.
     if let Err(error) = dial::reset_on_close(&stream) {
         log::warn!("cannot set a connection to a leaf to be reset on close: {error}");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 mod admin;
+mod connections;
 mod counters;
 mod dial;
 mod error;
@@ -28,6 +29,7 @@
     MoveCommand, MoveCommandSender, ReaderMode, ReaderModeSender, Update, UpdateSender,
 };
 pub use hub::run;
+pub use monsoondeal_node::accept::descriptor_limit;
 pub use monsoondeal_node::budget::{AnswerMemory, ReadBudget, ReadLimits, Reservation};
 pub use monsoondeal_node::client::{Sender, handshake, read_held_body};
 pub use monsoondeal_node::signals::{SignalReceiver, Signals};
--- a/crates/gateway/src/relay/link.rs
+++ b/crates/gateway/src/relay/link.rs
@@ -1,16 +1,20 @@
 //! Connections between a node that reads the store and its followers.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
+use compio::net::TcpStream;
 use compio::runtime::spawn;
 use compio::time::timeout;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use futures_util::future::select;
+use monsoondeal_node::accept::{Acceptor, LogThrottle};
 use monsoondeal_node::frame;
+use monsoondeal_node::open_guard::OpenGuard;
 
 use super::{RelayEvent, RelaySender};
 use crate::event::Update;
@@ -23,13 +27,28 @@
 /// Sender of encoded frames to a follower.
 pub(super) type FrameSender = mpsc::Sender<Bytes>;
 
-/// Accepts connections of followers until the process ends.
-pub(super) async fn listen(listener: TcpListener, events: RelaySender) {
+/// Accepts connections of followers until the process ends, at most `limit` at a time. Others are closed: the node at the
+/// other end tries its next source.
+pub(super) async fn listen(mut acceptor: Acceptor, limit: usize, events: RelaySender) {
+    let open: Rc<Cell<usize>> = Rc::default();
+    let mut throttle = LogThrottle::default();
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => spawn(serve_follower(stream, events.clone())).detach(),
-            Err(error) => log::warn!("cannot accept a connection of a follower: {error}"),
+        let Ok(stream) = acceptor.accept().await else {
+            continue;
+        };
+        if open.get() >= limit {
+            if let Some(refused) = throttle.count() {
+                log::warn!(limit, refused; "connection closed: there are too many followers");
+            }
+            continue;
         }
+        let guard = OpenGuard::new(&open);
+        let events = events.clone();
+        spawn(async move {
+            serve_follower(stream, events).await;
+            drop(guard);
+        })
+        .detach();
     }
 }
 
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -9,7 +9,6 @@
 
 use std::time::Duration;
 
-use compio::net::TcpListener;
 use compio::runtime::{JoinHandle, spawn};
 use compio::time::sleep_until;
 use futures_channel::mpsc;
@@ -18,6 +17,7 @@
 use monsoondeal_core::{Clock, Time};
 use monsoondeal_edge::{Name, Peer};
 use monsoondeal_member::{FleetNode, SourceAction, SourceSelector, store_role};
+use monsoondeal_node::accept::Acceptor;
 use monsoondeal_node::frame;
 
 use crate::event::{Event, EventSender, ReaderMode, ReaderModeSender, Update, send};
@@ -80,17 +80,18 @@
 }
 
 impl Relay {
-    /// Starts the relay. `updates` are those read from the store, `mode_sender` turns the reader of the store
+    /// Starts the relay, for at most `max_followers` followers at a time. `updates` are those read from the store, `mode_sender` turns the reader of the store
     /// on and off.
     pub(crate) fn start(
         vm: &str,
-        listener: TcpListener,
+        (acceptor, max_followers): (Acceptor, usize),
         updates: mpsc::UnboundedReceiver<Update>,
         mode_sender: ReaderModeSender,
         events: EventSender,
     ) {
         let (relay_events, inbox) = mpsc::unbounded();
-        spawn(link::listen(listener, relay_events.clone())).detach();
+        let listening = link::listen(acceptor, max_followers, relay_events.clone());
+        spawn(listening).detach();
         let relay = Self {
             vm: Name::from(vm),
             selector: SourceSelector::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -68,6 +68,8 @@
     pub edge: EdgeSettings,
     /// Stages of a planned stop.
     pub stop: StopSettings,
+    /// File descriptors that connections may use.
+    pub descriptors: usize,
     /// Failure domain of the VM, for the log.
     pub domain: String,
     /// Name of the VM, for the log.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -172,6 +172,7 @@
                 ..EdgeSettings::default()
             },
             stop: StopSettings::default(),
+            descriptors: 4_000,
             domain: "a".to_owned(),
             vm: vm_name(follow_addr),
         };
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -1,17 +1,21 @@
 //! The operators' interface: `/ready`, `/metrics` and `/state`.
 
-use compio::net::TcpListener;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
+use crate::accept::Acceptor;
 use crate::ask::ask;
 use crate::event::{Event, EventSender};
 use crate::http::{self, Body};
 use crate::pages::page;
 
+/// Connections of operators at a time.
+const MAX_CONNECTIONS: usize = 128;
+
 /// Serves operators until the process ends.
-pub(crate) async fn listen(listener: TcpListener, events: EventSender) {
-    http::listen(listener, move |request| handle(request, events.clone())).await;
+pub(crate) async fn listen(acceptor: Acceptor, events: EventSender) {
+    let handler = move |request| handle(request, events.clone());
+    http::listen(acceptor, MAX_CONNECTIONS, handler).await;
 }
 
 async fn handle(request: Request<Incoming>, events: EventSender) -> Response<Body> {
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compio::net::TcpListener;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -17,6 +16,7 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 
+use crate::accept::Acceptor;
 use crate::ask::ask_or_cancel;
 use crate::event::{Event, EventSender};
 use crate::http::{self, Body, header};
@@ -36,8 +36,9 @@
 }
 
 /// Serves callers until the process ends.
-pub(crate) async fn listen(listener: TcpListener, state: CallerState, events: EventSender) {
-    http::listen(listener, move |request| {
+pub(crate) async fn listen(acceptor: Acceptor, state: CallerState, events: EventSender) {
+    // The oldest connection may have a request under way, so none is closed for another one.
+    http::listen(acceptor, usize::MAX, move |request| {
         handle(request, state.clone(), events.clone())
     })
     .await;
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP server and helper functions shared by the HTTP interfaces.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::pin;
@@ -7,8 +8,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
+use compio::net::TcpStream;
 use cyper_core::CompioTimer;
+use futures_channel::oneshot;
+use futures_util::future::select;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -16,6 +19,7 @@
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
 
+use crate::accept::Acceptor;
 use crate::stream::Stream;
 
 /// Maximum time for a client to send the head of a request.
@@ -47,18 +51,33 @@
 /// Body of responses.
 pub type Body = Full<Bytes>;
 
-/// Accepts connections and serves each with `handler` until the process ends.
-pub async fn listen<F, R>(listener: TcpListener, handler: F)
+/// Accepts connections and serves each with `handler` until the process ends. If there are more than `max_connections`,
+/// the oldest one is closed.
+pub async fn listen<F, R>(mut acceptor: Acceptor, max_connections: usize, handler: F)
 where
     F: Fn(Request<Incoming>) -> R + 'static,
     R: Future<Output = Response<Body>> + 'static,
 {
     let handler = Rc::new(handler);
+    // Dropping a sender closes its connection.
+    let mut open: VecDeque<oneshot::Sender<()>> = VecDeque::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok(stream) = acceptor.accept().await else {
             continue;
         };
-        compio::runtime::spawn(serve(stream, handler.clone())).detach();
+        if open.len() >= max_connections {
+            open.retain(|connection| !connection.is_canceled());
+        }
+        if open.len() >= max_connections {
+            open.pop_front();
+        }
+        let (sender, closing) = oneshot::channel();
+        open.push_back(sender);
+        let handler = handler.clone();
+        compio::runtime::spawn(async move {
+            select(pin!(serve(stream, handler)), closing).await;
+        })
+        .detach();
     }
 }
 
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use compio::net::TcpListener;
@@ -20,6 +21,7 @@
 use monsoondeal_route::{QuerySettings, ReplicaSelectorSettings};
 use rand::RngExt;
 
+use crate::accept::Acceptor;
 use crate::callers::CallerState;
 use crate::error::NodeError;
 use crate::event::{Event, EventSender, MessageSender, send};
@@ -68,15 +70,18 @@
         "listening"
     );
 
+    let accept_failures = Rc::default();
+    let acceptor =
+        |purpose, listener| Acceptor::new(purpose, listener, Rc::clone(&accept_failures));
     let caller_state = CallerState::default();
     spawn(callers::listen(
-        callers,
+        acceptor("callers", callers),
         caller_state.clone(),
         events.clone(),
     ))
     .detach();
-    spawn(links::listen(peers, events.clone())).detach();
-    spawn(admin::listen(admin, events.clone())).detach();
+    spawn(links::listen(acceptor("peers", peers), events.clone())).detach();
+    spawn(admin::listen(acceptor("operators", admin), events.clone())).detach();
 
     let identity = Identity {
         node,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 //!
 //! Everything runs on one thread.
 
+pub mod accept;
 mod admin;
 pub mod ask;
 pub mod budget;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use compio::net::{TcpListener, TcpStream};
+use compio::net::TcpStream;
 use compio::time::timeout;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
@@ -11,6 +11,7 @@
 use monsoondeal_engine::io::LinkId;
 use monsoondeal_engine::message::Message;
 
+use crate::accept::Acceptor;
 use crate::event::{Event, EventSender, send};
 use crate::frame;
 
@@ -18,10 +19,10 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Accepts connections until the process ends.
-pub(crate) async fn listen(listener: TcpListener, events: EventSender) {
+pub(crate) async fn listen(mut acceptor: Acceptor, events: EventSender) {
     let mut last_id = 0;
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok(stream) = acceptor.accept().await else {
             continue;
         };
         last_id += 1;
--- /dev/null
+++ b/programs/monsoondeal/tests/descriptors.rs
@@ -0,0 +1,196 @@
+//! The `edge` command as a process that may open few file descriptors, while others hold connections to it.
+
+#[path = "../../../platform/tests/common/mod.rs"]
+mod common;
+mod process;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Stdio;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{config, leaf_entry, request_text, start_leaf, start_leaf_with, wait_until};
+use process::NodeProcess;
+use rstest::rstest;
+use soak::store::FakeStore;
+
+/// File descriptors that the process may have open.
+const MAX_DESCRIPTORS: u32 = 400;
+/// Connections that others hold: more than the process may have open.
+const HELD: usize = 450;
+/// Longest time to a response: as long as callers wait for a connection.
+const RESPONSE_TIME: Duration = Duration::from_secs(1);
+/// Work of a slow leaf.
+const SLOW_WORK: Duration = Duration::from_secs(2);
+
+fn store_with_leaf(leaf: SocketAddr) -> FakeStore {
+    let store = FakeStore::start();
+    store.put("servers", "i-1", leaf_entry(leaf, "s", "ready"));
+    store.put("config", "main", config(1, "/p/", "s"));
+    store
+}
+
+fn start_node(name: &str, store: &FakeStore) -> NodeProcess {
+    NodeProcess::start_limited(name, store.addr, MAX_DESCRIPTORS, Stdio::null())
+}
+
+/// Sends a request on an open connection and returns whether it was served in time.
+fn is_served(stream: &mut TcpStream, id: &str) -> bool {
+    let timeout = Some(RESPONSE_TIME);
+    stream.set_read_timeout(timeout).expect("a socket option");
+    let text = request_text(id, "/p/x", "");
+    if stream.write_all(text.as_bytes()).is_err() {
+        return false;
+    }
+    let mut answer = Vec::new();
+    let mut part = [0; 1024];
+    while !answer.ends_with(b"good") {
+        match stream.read(&mut part) {
+            Ok(length @ 1..) => answer.extend_from_slice(&part[..length]),
+            Ok(0) | Err(_) => return false,
+        }
+    }
+    answer.starts_with(b"HTTP/1.1 200")
+}
+
+fn connect(addr: SocketAddr) -> TcpStream {
+    TcpStream::connect(addr).expect("the kernel accepts the connection")
+}
+
+/// Checks that new requests and the balancer's check are answered in time.
+fn assert_serves(node: &NodeProcess, when: &str) {
+    let started = Instant::now();
+    assert!(is_served(&mut connect(node.addrs.front), "new"), "{when}");
+    assert!(node.addrs.is_ready(), "{when}");
+    let elapsed = started.elapsed();
+    assert!(elapsed < RESPONSE_TIME, "{when}: {elapsed:?}");
+}
+
+/// Guards against a node that has used up its descriptors and answers nothing any more (CONFIG), as when it is the last
+/// one of several: each caller sends a request and keeps its connection. Those that it kept before are served, too.
+#[test]
+fn callers_that_keep_their_connections_are_all_served() {
+    let store = store_with_leaf(start_leaf(Duration::ZERO));
+    let node = start_node("kept", &store);
+    let mut kept: Vec<TcpStream> = (0..5).map(|_| connect(node.addrs.front)).collect();
+    let serve_kept = |kept: &mut [TcpStream], when: &str| {
+        for (at, stream) in kept.iter_mut().enumerate() {
+            assert!(is_served(stream, &format!("{when}-{at}")), "{when} {at}");
+        }
+    };
+    serve_kept(&mut kept, "before");
+    let mut held = Vec::new();
+    for at in 0..HELD {
+        let mut stream = connect(node.addrs.front);
+        assert!(is_served(&mut stream, &format!("held-{at}")), "{at}");
+        held.push(stream);
+    }
+    serve_kept(&mut kept, "beside the others");
+    assert_serves(&node, "beside the others");
+    drop(held);
+    serve_kept(&mut kept, "after the others");
+    assert_serves(&node, "after the others");
+}
+
+/// A listener of the node.
+#[derive(Clone, Copy, Debug)]
+enum Listener {
+    Callers,
+    Readiness,
+    Operators,
+    Nodes,
+    Followers,
+}
+
+impl Listener {
+    fn addr(self, node: &NodeProcess) -> SocketAddr {
+        let [nodes, followers] = node.addrs.peer_addrs();
+        match self {
+            Self::Callers => node.addrs.front,
+            Self::Readiness => node.addrs.readiness,
+            Self::Operators => node.addrs.admin,
+            Self::Nodes => nodes,
+            Self::Followers => followers,
+        }
+    }
+}
+
+/// Guards against the same by connections on which nothing is sent, or a part of a request only, on each listener.
+#[rstest]
+fn silent_connections_leave_room(
+    #[values(
+        Listener::Callers,
+        Listener::Readiness,
+        Listener::Operators,
+        Listener::Nodes,
+        Listener::Followers
+    )]
+    listener: Listener,
+    #[values(
+        "",
+        "GET / HTT",
+        "POST /p/x HTTP/1.1\r\nhost: h.example\r\nx-monsoondeal-request-id: a\r\ncontent-length: 9\r\n\r\nbody"
+    )]
+    text: &str,
+) {
+    let store = store_with_leaf(start_leaf(Duration::ZERO));
+    let node = start_node("silent", &store);
+    let mut held = Vec::new();
+    for _ in 0..HELD {
+        let mut stream = connect(listener.addr(&node));
+        stream
+            .write_all(text.as_bytes())
+            .expect("an open connection");
+        held.push(stream);
+    }
+    thread::sleep(Duration::from_millis(300));
+    assert_serves(&node, "beside silent connections");
+    drop(held);
+    assert_serves(&node, "after silent connections");
+}
+
+/// A caller for whom there is no room, since all connections have requests under way, learns so at once: its
+/// connection is closed unread. The node serves again when the others have their answers.
+#[test]
+fn busy_connections_turn_others_away_at_once() {
+    let work = |line: &str| match line.contains("/slow") {
+        true => SLOW_WORK,
+        false => Duration::ZERO,
+    };
+    let store = store_with_leaf(start_leaf_with(work));
+    let node = start_node("busy", &store);
+    let mut busy = Vec::new();
+    for at in 0..HELD {
+        let mut stream = connect(node.addrs.front);
+        let text = request_text(&format!("busy-{at}"), "/p/slow", "");
+        // The node may have closed the connection.
+        let _ = stream.write_all(text.as_bytes());
+        busy.push(stream);
+    }
+    let started = Instant::now();
+    is_served(&mut connect(node.addrs.front), "turned-away");
+    assert!(started.elapsed() < RESPONSE_TIME, "{:?}", started.elapsed());
+    assert!(node.addrs.is_ready());
+    wait_until("room", || {
+        is_served(&mut connect(node.addrs.front), "after")
+    });
+}
+
+/// Guards against a node that spends its time on failing calls, and fills its log with them.
+#[test]
+fn log_stays_short_without_descriptors() {
+    let store = store_with_leaf(start_leaf(Duration::ZERO));
+    let path = std::env::temp_dir().join(format!("descriptors-{}.log", std::process::id()));
+    let file = std::fs::File::create(&path).expect("a log file");
+    let name = "log";
+    let node = NodeProcess::start_limited(name, store.addr, MAX_DESCRIPTORS, file.into());
+    let held: Vec<TcpStream> = (0..HELD).map(|_| connect(node.addrs.front)).collect();
+    thread::sleep(Duration::from_secs(2));
+    assert_serves(&node, "beside silent connections");
+    drop((held, node));
+    let log = std::fs::read_to_string(&path).expect("a log");
+    let _ = std::fs::remove_file(&path);
+    let lines = log.lines().count();
+    assert!(lines < 200, "{lines} lines");
+}
--- a/programs/monsoondeal/tests/process/mod.rs
+++ b/programs/monsoondeal/tests/process/mod.rs
@@ -11,6 +11,8 @@
 
 use crate::common::wait_until;
 
+/// Path of the program.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_monsoondeal");
 /// Number of nodes that the tests of this process have started.
 static STARTED: AtomicUsize = AtomicUsize::new(0);
 
@@ -29,15 +31,31 @@
         process
     }
 
+    /// Starts a node that may open `descriptors` file descriptors, and waits until it is ready.
+    pub fn start_limited(name: &str, store: SocketAddr, descriptors: u32, logs: Stdio) -> Self {
+        let limit = format!("ulimit -n {descriptors} && exec \"$0\" edge");
+        let mut command = Command::new("sh");
+        command.args(["-c", &limit, PROGRAM]);
+        let process = Self::start_command(name, store, command, logs);
+        process.wait_until_ready();
+        process
+    }
+
     /// Starts a node.
     pub fn start_with_logs(name: &str, store: SocketAddr, logs: Stdio) -> Self {
+        let mut command = Command::new(PROGRAM);
+        command.arg("edge");
+        Self::start_command(name, store, command, logs)
+    }
+
+    fn start_command(name: &str, store: SocketAddr, command: Command, logs: Stdio) -> Self {
         let addrs = NodeAddrs::free();
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let file = format!("monsoondeal-{name}-{}-{number}.conf", std::process::id());
         let settings = std::env::temp_dir().join(file);
         fs::write(&settings, addrs.settings(store)).expect("a settings file");
         Self {
-            child: spawn(&settings, logs),
+            child: spawn(command, &settings, logs),
             addrs,
             settings,
         }
@@ -49,7 +67,9 @@
 
     /// Starts the process again, after it has ended.
     pub fn restart(&mut self) {
-        self.child = spawn(&self.settings, Stdio::null());
+        let mut command = Command::new(PROGRAM);
+        command.arg("edge");
+        self.child = spawn(command, &self.settings, Stdio::null());
     }
 
     pub fn signal(&self, name: &str) {
@@ -77,9 +97,8 @@
     }
 }
 
-fn spawn(settings: &PathBuf, logs: Stdio) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_monsoondeal"))
-        .arg("edge")
+fn spawn(mut command: Command, settings: &PathBuf, logs: Stdio) -> Child {
+    command
         .env(SETTINGS_VARIABLE, settings)
         .stdout(logs)
         .spawn()
