EXPOSURE: a decision on a version move names its order

And a version that was ordered again after its rollback got no requests until its deadline.

Cause: only service and version named an order in decisions and statuses, and the number of its object's creation in ledgers; a PUT of an order keeps that number and the status.

A version in force keeps its calls if it is ordered anew and has no other beside it.

--- a/crates/edge/src/ledger_client.rs
+++ b/crates/edge/src/ledger_client.rs
@@ -4,7 +4,9 @@
 
 use monsoondeal_core::Time;
 use monsoondeal_moves::ledger::LOAD_INTERVAL;
-use monsoondeal_moves::{LatencyHistogram, MoveLimits, Posting, PostingReply, Ruling, Totals};
+use monsoondeal_moves::{
+    LatencyHistogram, MoveLimits, OrderId, Posting, PostingReply, Ruling, Totals,
+};
 
 use crate::config::Name;
 
@@ -492,8 +494,8 @@
 pub struct MovePost {
     /// Service that is moved.
     pub service: Name,
-    /// Number of the order.
-    pub id: u64,
+    /// Identity of the order.
+    pub id: OrderId,
     /// The new version.
     pub version: Name,
     /// Limits of the move.
--- a/crates/edge/src/version_moves.rs
+++ b/crates/edge/src/version_moves.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use monsoondeal_core::{LeafId, Time};
-use monsoondeal_moves::{LatencyHistogram, MoveLimits, PostingReply, Ruling, Totals};
+use monsoondeal_moves::{LatencyHistogram, MoveLimits, OrderId, PostingReply, Ruling, Totals};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -51,8 +51,9 @@
 pub struct MoveOrder {
     /// Service to move.
     pub service: Name,
-    /// Number of the order; increases with each order of the service.
-    pub id: u64,
+    /// Identity of the order.
+    #[serde(flatten)]
+    pub id: OrderId,
     /// The new version.
     pub version: Name,
     /// Time from the order within which the move must be completed.
@@ -88,6 +89,8 @@
 pub struct MoveDecision {
     /// Service that is moved.
     pub service: Name,
+    /// Identity of the order that is decided on. The decision holds for no other order of the version.
+    pub id: OrderId,
     /// The new version.
     pub version: Name,
     /// New state of the move.
@@ -121,6 +124,9 @@
     previous: SmallVec<[Name; 2]>,
     /// Since when the order has been missing in the listings, which may be older than what this node knows.
     missing_since: Option<Time>,
+    /// Whether the version was in force when this node got the order. As long as there are no leafs of another version
+    /// that may be called, all calls go to it.
+    was_in_force: bool,
     /// Whether the store has confirmed that the order was withdrawn before this node knew the end of the move.
     is_withdrawn: bool,
     /// Reason for the present state.
@@ -153,8 +159,14 @@
         self.seen_at + ANNOUNCE_DELAY.min(self.order.duration.mul_f64(ANNOUNCE_PART))
     }
 
+    /// Returns whether a call that is sent to a version now is one on trial.
+    fn is_trial(&self, version: &Name) -> bool {
+        let needs_permit = !self.was_in_force || self.ledger.has_permit();
+        self.order.version == *version && needs_permit
+    }
+
     fn is_for(&self, order: &MoveOrder) -> bool {
-        self.order.version == order.version && self.order.id == order.id
+        self.order.version == order.version && self.order.id.is_same(order.id)
     }
 
     fn count(&self) -> MoveCount {
@@ -173,7 +185,11 @@
             (held, listed) if held.is_final() && !listed.is_final() => held,
             (_, listed) => listed,
         };
-        self.order = MoveOrder { state, ..order };
+        let id = match order.id.revision {
+            0 => self.order.id,
+            _ => order.id,
+        };
+        self.order = MoveOrder { id, state, ..order };
     }
 }
 
@@ -268,7 +284,7 @@
         let service = order.service.clone();
         let mut mv = match self.moves.remove(&service) {
             // The listing is older than what this node knows.
-            Some(held) if held.order.id > order.id => held,
+            Some(held) if order.id.is_before(held.order.id) => held,
             Some(mut held) if held.is_for(&order) => {
                 held.missing_since = None;
                 held.ledger.set_limits(limits);
@@ -276,6 +292,7 @@
                 held
             }
             _ => {
+                let was_in_force = self.versions.is_in_force(&service, &order.version);
                 self.versions.mark_tried(&service, &order.version);
                 let mut ledger = begin(&service, limits);
                 ledger.note_elapsed(order.elapsed, now);
@@ -284,6 +301,7 @@
                     seen_at: now,
                     previous: SmallVec::new(),
                     missing_since: None,
+                    was_in_force,
                     is_withdrawn: false,
                     cause: MoveCause::Ordered,
                     requested: None,
@@ -337,10 +355,14 @@
         } else {
             established
         };
+        // The order of an unconfirmed version may have been missed: then this one is no longer in force.
+        let is_only_version =
+            mv.was_in_force && old.is_empty() && versions.all_established(service);
         let (stable, trial) = match mv.order.state {
             MoveState::Completed if new.is_empty() => (old, new),
             MoveState::Completed => (new, SmallVec::new()),
             MoveState::RolledBack if old.is_empty() && mv.is_withdrawn => (new, old),
+            _ if is_only_version => (new, old),
             MoveState::RolledBack => (old, SmallVec::new()),
             MoveState::Asked | MoveState::Running => {
                 let warm_after = mv.order.duration.mul_f64(WARM_ONLY_PART);
@@ -365,9 +387,9 @@
         let Some(mv) = self.moves.get_mut(service).filter(|s| s.is_running()) else {
             return false;
         };
-        let is_new = mv.order.version == *version;
-        mv.ledger.call_sent(is_new, now);
-        is_new
+        let is_trial = mv.is_trial(version);
+        mv.ledger.call_sent(is_trial, now);
+        is_trial
     }
 
     /// Counts a call for which there was no leaf.
@@ -427,7 +449,8 @@
         jitter: f64,
         now: Time,
     ) {
-        let is_for = |mv: &&mut Move| mv.order.version == post.version && mv.order.id == post.id;
+        let is_for =
+            |mv: &&mut Move| mv.order.version == post.version && mv.order.id.is_same(post.id);
         let Some(mv) = self.moves.get_mut(&post.service).filter(is_for) else {
             return;
         };
@@ -475,6 +498,7 @@
             mv.requested = Some(next_state);
             decisions.push(MoveDecision {
                 service: mv.order.service.clone(),
+                id: mv.order.id,
                 version: mv.order.version.clone(),
                 state: next_state,
                 cause: mv.cause,
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -16,7 +16,7 @@
     Repeat, Reply, RequestEvent, RequestHead, Route, Service, Summary, Target, Token,
     UnwrittenCause, WriteMark,
 };
-use monsoondeal_moves::{Ledger, OrderKey, PostingReply};
+use monsoondeal_moves::{Ledger, OrderId, OrderKey, PostingReply};
 
 /// Most ticks at one point in virtual time; a node that needs more makes no progress.
 const MAX_TICKS: usize = 1_000;
@@ -169,6 +169,14 @@
     unwritten(UnwrittenCause::Displaced)
 }
 
+/// Returns the identity of an order that is not given by a change of another one.
+pub fn order_id(number: u64) -> OrderId {
+    OrderId {
+        created: number,
+        revision: number,
+    }
+}
+
 /// Applies a posting to a ledger, which is created if there is none yet, and returns the ledger's reply.
 pub fn apply_posting(ledger: &mut Option<Ledger>, post: &MovePost) -> PostingReply {
     let key = OrderKey {
--- a/crates/edge/tests/common/move_simulation.rs
+++ b/crates/edge/tests/common/move_simulation.rs
@@ -174,7 +174,7 @@
 fn order(state: MoveState) -> MoveOrder {
     MoveOrder {
         service: "s".into(),
-        id: 1,
+        id: super::order_id(1),
         version: "v2".into(),
         duration: Duration::from_millis(MOVE_DURATION_MS as u64),
         elapsed: Duration::ZERO,
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -5,12 +5,12 @@
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
-use common::{Node, config, failure, leaf, service_route, success, unsent};
+use common::{Node, config, failure, leaf, order_id, service_route, success, unsent};
 use monsoondeal_core::Time;
 use monsoondeal_edge::{
     Edge, EdgeSettings, LeafEntry, MoveCause, MoveOrder, MoveState, Name, Repeat, Reply,
 };
-use monsoondeal_moves::{Posting, PostingReply, Ruling};
+use monsoondeal_moves::{OrderId, Posting, PostingReply, Ruling};
 use rstest::rstest;
 
 /// Time from the order to its deadline.
@@ -28,7 +28,7 @@
 fn order(state: MoveState) -> MoveOrder {
     MoveOrder {
         service: Name::from("s"),
-        id: 1,
+        id: order_id(1),
         version: Name::from("v2"),
         duration: MOVE_DURATION,
         elapsed: Duration::ZERO,
@@ -294,7 +294,7 @@
 #[rstest]
 #[case::order_withdrawn(vec![])]
 #[case::next_version(vec![MoveOrder {
-    id: 2,
+    id: order_id(2),
     version: Name::from("v3"),
     ..order(MoveState::Running)
 }])]
@@ -309,6 +309,60 @@
     assert!(counts.keys().all(|name| !is_new_leaf(name)), "{counts:?}");
 }
 
+/// Guards against an order that is taken for an earlier one of its version (EXPOSURE, missed moves): only the revision
+/// of its object tells them apart. A listing that is older than the order does not bring the earlier one back.
+#[rstest]
+#[case::after_a_rollback(MoveState::RolledBack)]
+#[case::after_a_completion(MoveState::Completed)]
+fn move_to_a_version_ordered_again_is_begun(#[case] earlier: MoveState) {
+    let mut node = node(earlier);
+    let again = MoveOrder {
+        id: OrderId {
+            revision: 5,
+            ..order_id(1)
+        },
+        ..order(MoveState::Asked)
+    };
+    set_moves(&mut node, vec![again.clone()]);
+    node.run_for(Duration::from_secs(2));
+    let announced = node
+        .decisions
+        .iter()
+        .find(|decision| decision.id == again.id);
+    assert_eq!(
+        announced.map(|decision| decision.state),
+        Some(MoveState::Running)
+    );
+    set_moves(&mut node, vec![order(earlier)]);
+    let mut ledger = None;
+    node.answer_posts(&mut ledger);
+    let counts = calls_by_leaf(&mut node);
+    // After a completion the former leafs have stopped.
+    let is_served_by_new = earlier == MoveState::Completed;
+    let (new, old): (Vec<_>, Vec<_>) = counts.iter().partition(|(name, _)| is_new_leaf(name));
+    assert_eq!(old.is_empty(), is_served_by_new, "{new:?} {old:?}");
+    assert!(!counts.is_empty());
+}
+
+/// A version that is in force and is ordered again has no other to be compared with: its leafs go on being called.
+#[test]
+fn move_to_the_version_in_force_starves_no_calls() {
+    let mut node = node(MoveState::Completed);
+    for leaf in ["old-1", "old-2"] {
+        node.apply(|edge, now, out| {
+            edge.remove_leaf(leaf, now, out);
+        });
+    }
+    let again = MoveOrder {
+        id: order_id(2),
+        ..order(MoveState::Asked)
+    };
+    set_moves(&mut node, vec![again]);
+    let token = node.request("r");
+    node.answer_all_except(|_| false);
+    assert!(matches!(node.reply(token), Some(Reply::Answer(_))));
+}
+
 /// The old leafs stop when a move is completed and get no further calls; leafs of a later version are called.
 #[test]
 fn move_completed_stops_calls_to_the_previous_version() {
@@ -448,7 +502,7 @@
 #[rstest]
 #[case::withdrawn(vec![])]
 #[case::next_version(vec![MoveOrder {
-    id: 2,
+    id: order_id(2),
     version: Name::from("v3"),
     ..order(MoveState::Running)
 }])]
@@ -483,7 +537,7 @@
     }
     set_moves(&mut node, vec![]);
     let next = MoveOrder {
-        id: 2,
+        id: order_id(2),
         version: Name::from("v3"),
         ..order(MoveState::Running)
     };
@@ -504,7 +558,7 @@
 #[rstest]
 #[case::without_the_order(vec![])]
 #[case::earlier_order(vec![MoveOrder {
-    id: 0,
+    id: order_id(0),
     version: Name::from("v0"),
     ..order(MoveState::RolledBack)
 }])]
--- a/crates/edge/tests/notices.rs
+++ b/crates/edge/tests/notices.rs
@@ -408,7 +408,7 @@
     upsert(&mut node, new);
     let order = MoveOrder {
         service: Name::from("s"),
-        id: 1,
+        id: common::order_id(1),
         version: Name::from("v2"),
         duration: Duration::from_secs(12),
         elapsed: Duration::ZERO,
--- a/crates/moves/src/ledger.rs
+++ b/crates/moves/src/ledger.rs
@@ -26,6 +26,7 @@
 
 use crate::evidence::{Evidence, RequestCounts, RouteEvidence};
 use crate::histogram::LatencyHistogram;
+use crate::order::OrderId;
 use crate::verdict::{Detector, Fault, Verdict, VerdictSettings};
 
 /// Fraction of the allowed calls that may be granted in the canary phase.
@@ -116,12 +117,20 @@
 /// `OrderKey` identifies an order among those of one service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderKey {
-    /// Number of the order, which increases with each order.
-    pub id: u64,
+    /// Identity of the order.
+    #[serde(flatten)]
+    pub id: OrderId,
     /// The new version.
     pub version: String,
 }
 
+impl OrderKey {
+    /// Returns whether both keys are of the same order, as far as that is known.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.version == other.version && self.id.is_same(other.id)
+    }
+}
+
 /// `VersionSample` is what a node has observed of one version on one route since its last posting.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionSample {
--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod evidence;
 pub mod histogram;
 pub mod ledger;
+pub mod order;
 pub mod plan;
 pub mod record;
 pub mod verdict;
@@ -25,6 +26,7 @@
 pub use ledger::{
     Ledger, MoveLimits, OrderKey, Posting, PostingReply, RouteSamples, Ruling, Totals,
 };
+pub use order::OrderId;
 pub use plan::{Plan, Step};
 pub use record::{MoveRecord, Progress, WallClock};
 pub use verdict::{Detector, Fault, Verdict, VerdictSettings};
--- a/crates/moves/tests/ledger.rs
+++ b/crates/moves/tests/ledger.rs
@@ -5,7 +5,8 @@
 
 use monsoondeal_moves::ledger::BAD_LIMIT;
 use monsoondeal_moves::{
-    LatencyHistogram, Ledger, MoveLimits, OrderKey, Posting, PostingReply, RouteSamples, Ruling,
+    LatencyHistogram, Ledger, MoveLimits, OrderId, OrderKey, Posting, PostingReply, RouteSamples,
+    Ruling,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -23,7 +24,10 @@
 
 fn ledger() -> Ledger {
     Ledger::new(OrderKey {
-        id: 1,
+        id: OrderId {
+            created: 1,
+            revision: 1,
+        },
         version: "v2".to_owned(),
     })
 }
