--- a/crates/gateway/tests/answer_heads.rs
+++ b/crates/gateway/tests/answer_heads.rs
@@ -286,15 +286,13 @@
     assert!(bad.arrivals() >= 1, "no check reached the leaf");
 }
 
-/// An answer of another node with an odd head is no segment of a query.
-#[rstest]
-fn answer_with_odd_head_is_no_segment(#[values(0, 1, 2, 3, 4, 5, 6)] variant: usize) {
+/// Sends a query whose segments other nodes answer with `answer`, and checks that nothing of that is passed on.
+fn check_no_segment(answer: String) {
     let node = Leaf::start(move |stream: &mut TcpStream, head: &str| {
         let call = field(head, "x-segment-call").unwrap_or_default();
         let repeated =
             format!("x-parts: odd-0, odd-1\r\nx-segment-call: {call}\r\ncontent-length:");
-        let answer = odd_answer(variant).replace("content-length:", &repeated);
-        send_last(stream, head, &answer);
+        send_last(stream, head, &answer.replace("content-length:", &repeated));
     });
     let (shard, other) = (Leaf::start(answer_part), Leaf::start(answer_part));
     let (shard_addr, other_addr, node_addr) = (shard.addr, other.addr, node.addr);
@@ -326,3 +324,22 @@
     assert!(!response.contains("odd"), "{response:?}");
     assert!(node.arrivals() >= 1, "no call reached the node");
 }
+
+/// An answer of another node with an odd head is no segment of a query.
+#[rstest]
+fn answer_with_odd_head_is_no_segment(#[values(0, 1, 2, 3, 4, 5, 6)] variant: usize) {
+    check_no_segment(odd_answer(variant));
+}
+
+/// An answer of another node with an impossible status, or with one that no node gives to a segment that it has served,
+/// is no segment of a query.
+#[rstest]
+fn answer_of_another_status_is_no_segment(
+    #[values(
+        "000 OK", "000", "000 ", "099 OK", "00 OK", "0200 OK", "1000 OK", "20 OK", "20x OK", " OK",
+        "201 OK", "206 OK", "299 OK", "304 OK", "500 OK", "600 OK", "999 OK"
+    )]
+    status: &str,
+) {
+    check_no_segment(answer_with_line(Line::Last, "x-odd: 1").replace("200 OK", status));
+}
