CONFIG: followers whose readers lose the store have changes in time

Cause: the steps from the loss of a reader to a node that reads the store itself were constants (2.5 s, 0.4 s a heartbeat, 0.4 s a source) that nobody had added up, and a reader without the store took followers and kept them waiting.

Change: SourceTiming divides config_apply_ms among the steps (1/2 notice, 1/4 search, 1/4 reading); StoreContact tells whether a node may have followers; the search for another source ends in time; heartbeats and questions to the store follow from the bound.

Related paths looked at: readers lost together and one after the other; cut off, frozen and killed; 6, 9, 77 and 295 nodes and a bound of 1 s; silent sources; the start of a fleet; readers that follow others. Left: a lost watch with an old copy.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -96,6 +96,7 @@
     spawn(admin::listen(admin, shares.pages, events.clone())).detach();
     Relay::start(
         &settings.vm,
+        settings.source_timing,
         (acceptor("followers", followers), shares.followers),
         updates,
         reader_modes,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
     MoveCommand, MoveCommandSender, ReaderMode, ReaderModeSender, Update, UpdateSender,
 };
 pub use hub::run;
+pub use monsoondeal_member::SourceTiming;
 pub use monsoondeal_node::accept::descriptor_limit;
 pub use monsoondeal_node::budget::{AnswerMemory, ReadBudget, ReadLimits, Reservation};
 pub use monsoondeal_node::client::{Sender, handshake, read_held_body};
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -16,7 +16,9 @@
 use futures_util::{Stream, StreamExt};
 use monsoondeal_core::{Clock, Time};
 use monsoondeal_edge::{Name, Peer};
-use monsoondeal_member::{FleetNode, SourceAction, SourceSelector, store_role};
+use monsoondeal_member::{
+    FleetNode, SourceAction, SourceSelector, SourceTiming, StoreContact, store_role,
+};
 use monsoondeal_node::accept::Acceptor;
 use monsoondeal_node::frame;
 
@@ -24,11 +26,6 @@
 use link::FrameSender;
 use mirror::Mirror;
 
-/// Longest time between two messages to a follower.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
-/// Time since the last answer of the store after which this node drops its followers.
-const STORE_CONTACT_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// Maximum number of events handled before updates are sent to followers.
 const EVENT_BATCH: usize = 256;
 /// Longest time between two checks of timers.
@@ -67,8 +64,9 @@
     next_heartbeat: Time,
     /// Updates not sent yet to followers that have the snapshot.
     pending: Vec<Update>,
-    /// When the store last answered; `None` while it is unreachable or not read.
-    store_seen_at: Option<Time>,
+    contact: StoreContact,
+    /// Longest time between two messages to a follower.
+    heartbeat_interval: Duration,
     /// The task that follows the source node. Dropping it closes the connection.
     source_task: Option<JoinHandle<()>>,
     /// Identity of the current source; events with an older one are ignored.
@@ -84,6 +82,7 @@
     /// on and off.
     pub(crate) fn start(
         vm: &str,
+        timing: SourceTiming,
         (acceptor, max_followers): (Acceptor, usize),
         updates: mpsc::UnboundedReceiver<Update>,
         mode_sender: ReaderModeSender,
@@ -94,13 +93,14 @@
         spawn(listening).detach();
         let relay = Self {
             vm: Name::from(vm),
-            selector: SourceSelector::default(),
+            selector: SourceSelector::new(timing),
             mirror: Mirror::default(),
             clock: Clock::start(),
             followers: Vec::new(),
             next_heartbeat: Time::MAX,
             pending: Vec::new(),
-            store_seen_at: None,
+            contact: StoreContact::new(timing),
+            heartbeat_interval: timing.heartbeat(),
             source_task: None,
             source_id: 0,
             reader_mode: ReaderMode::Off,
@@ -119,7 +119,7 @@
         let mut inbox = inbox.ready_chunks(EVENT_BATCH);
         loop {
             let wake = self.selector.next_wake().unwrap_or(Time::MAX);
-            let wake = wake.min(self.next_heartbeat);
+            let wake = wake.min(self.next_heartbeat).min(self.contact_end());
             let wake = wake.min(self.clock.now() + MAX_WAIT);
             let timer = std::pin::pin!(sleep_until(self.clock.instant(wake)));
             match select(inbox.next(), timer).await {
@@ -131,6 +131,7 @@
             }
             self.step(|selector, now, out| selector.tick(now, out));
             self.flush_pending();
+            self.check_contact();
             self.send_heartbeat();
         }
     }
@@ -157,11 +158,11 @@
         match update {
             Update::StoreReachable(true) => {
                 self.step(|selector, now, out| selector.set_store_reachable(true, now, out));
-                self.store_seen_at = Some(self.clock.now());
+                self.contact.answered(self.clock.now());
                 self.send_snapshots();
             }
             Update::StoreReachable(false) => {
-                self.store_seen_at = None;
+                self.contact.lost();
                 self.drop_followers("the store is unreachable");
                 self.step(|selector, now, out| selector.set_store_reachable(false, now, out));
             }
@@ -188,7 +189,7 @@
     }
 
     fn on_follower(&mut self, frames: FrameSender) {
-        if !self.selector.is_reading() {
+        if !self.selector.is_reading() || !self.contact.accepts_followers(self.clock.now()) {
             // Dropping the sender closes the connection, and the follower tries another source.
             return;
         }
@@ -198,17 +199,28 @@
         });
         self.next_heartbeat = self
             .next_heartbeat
-            .min(self.clock.now() + HEARTBEAT_INTERVAL);
+            .min(self.clock.now() + self.heartbeat_interval);
         self.send_snapshots();
     }
 
     /// Returns whether this node's state is recent enough for followers.
     fn is_reliable(&self) -> bool {
-        let now = self.clock.now();
-        self.selector.is_reading()
-            && self
-                .store_seen_at
-                .is_some_and(|at| now.since(at) < STORE_CONTACT_TIMEOUT)
+        self.selector.is_reading() && self.contact.is_recent(self.clock.now())
+    }
+
+    /// Returns when the followers are dropped unless the store answers before; `Time::MAX` without any.
+    fn contact_end(&self) -> Time {
+        let is_followed = self.followers.iter().any(|follower| follower.is_current);
+        let end = self.contact.ends_at().filter(|_| is_followed);
+        end.unwrap_or(Time::MAX)
+    }
+
+    /// Drops the followers if this node's state may be outdated.
+    fn check_contact(&mut self) {
+        if self.clock.now() >= self.contact_end() {
+            self.contact.lost();
+            self.drop_followers("the store has not answered for too long");
+        }
     }
 
     /// Sends a snapshot to followers that have none.
@@ -252,23 +264,19 @@
         });
     }
 
-    /// Sends heartbeats that are due, or drops the followers if this node's state may be outdated.
+    /// Sends heartbeats that are due.
     fn send_heartbeat(&mut self) {
         let now = self.clock.now();
         if now < self.next_heartbeat {
             return;
         }
-        let is_current = self.followers.iter().any(|follower| follower.is_current);
-        if is_current && !self.is_reliable() {
-            self.drop_followers("the store has not answered for too long");
-        }
         self.send_frame(&[]);
         self.followers
             .retain(|follower| !follower.frames.is_closed());
         if self.followers.is_empty() {
             self.next_heartbeat = Time::MAX;
         } else {
-            self.next_heartbeat = now + HEARTBEAT_INTERVAL;
+            self.next_heartbeat = now + self.heartbeat_interval;
         }
     }
 
@@ -296,6 +304,7 @@
             SourceAction::StartReading => {
                 log::info!("reading the store");
                 self.mirror.clear();
+                self.contact.reset();
                 self.set_reader_mode(ReaderMode::On);
             }
             SourceAction::StartProbing => {
@@ -305,7 +314,7 @@
             SourceAction::StopReading => {
                 log::info!("leaving the store to the node that is followed");
                 self.drop_followers("this node follows another one");
-                self.store_seen_at = None;
+                self.contact.reset();
                 self.set_reader_mode(ReaderMode::Off);
             }
             SourceAction::Connect(addr) => {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 
 use hyper::header::HeaderName;
 use monsoondeal_edge::EdgeSettings;
+use monsoondeal_member::SourceTiming;
 
 /// `HeaderNames` are the names of the header fields shared by callers, the node and leafs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,6 +69,8 @@
     pub edge: EdgeSettings,
     /// Stages of a planned stop.
     pub stop: StopSettings,
+    /// How soon nodes notice that those they follow are lost.
+    pub source_timing: SourceTiming,
     /// File descriptors that connections may use.
     pub descriptors: usize,
     /// Failure domain of the VM, for the log.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -17,7 +17,9 @@
 use monsoondeal_edge::{
     Config, EdgeSettings, LeafEntry, Limits, Name, Repeat, Route, Service, Target,
 };
-use monsoondeal_gateway::{GatewaySettings, HeaderNames, ReaderMode, StopSettings, Update};
+use monsoondeal_gateway::{
+    GatewaySettings, HeaderNames, ReaderMode, SourceTiming, StopSettings, Update,
+};
 use socket2::SockRef;
 pub use standin::endless::read_head;
 pub use standin::ports::free_addr;
@@ -172,6 +174,7 @@
                 ..EdgeSettings::default()
             },
             stop: StopSettings::default(),
+            source_timing: SourceTiming::default(),
             descriptors: 4_000,
             domain: "a".to_owned(),
             vm: vm_name(follow_addr),
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -258,3 +258,48 @@
     }
     panic!("the node does not receive the new configuration");
 }
+
+/// First byte of the frame that closes a WebSocket connection.
+const CLOSE_FRAME: u8 = 0x88;
+
+/// Connects to a node as a follower, and returns whether the node closes the connection.
+fn is_turned_away(node: &Gateway) -> bool {
+    let mut stream = TcpStream::connect(node.updates).expect("a node");
+    let timeout = Some(Duration::from_secs(5));
+    stream.set_read_timeout(timeout).expect("a socket option");
+    let handshake = "GET /updates HTTP/1.1\r\nhost: h\r\nconnection: upgrade\r\nupgrade: websocket\r\n\
+                     sec-websocket-version: 13\r\nsec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    stream
+        .write_all(handshake.as_bytes())
+        .expect("an open connection");
+    read_head(&mut stream).expect("an answer");
+    // A node that takes the follower sends nothing until it has reached the store.
+    let mut first = [0];
+    let read = stream.read(&mut first);
+    matches!(read, Ok(0)) || (read.is_ok() && first[0] == CLOSE_FRAME)
+}
+
+/// Guards against a reader that keeps nodes waiting although it has lost the store (CONFIG): by the calls that failed, or
+/// by the time since the last answer.
+#[rstest]
+#[case::calls_failed(true)]
+#[case::no_answer_for_long(false)]
+fn reader_that_lost_the_store_turns_followers_away(#[case] is_reported: bool) {
+    let fleet = fleet();
+    let reader = start_reader(&fleet, 0);
+    if is_reported {
+        reader.send_updates(|| vec![Update::StoreReachable(false)]);
+    } else {
+        thread::sleep(Duration::from_secs(3));
+    }
+    wait_until(|| is_turned_away(&reader));
+}
+
+/// A reader that has not reached the store yet keeps its first followers: all nodes start at the same time.
+#[test]
+fn reader_that_starts_keeps_followers() {
+    let fleet = fleet();
+    let reader = start(&fleet, 0);
+    wait_until(|| reader.reader_mode() == Some(ReaderMode::On));
+    assert!(!is_turned_away(&reader));
+}
--- a/crates/member/src/source.rs
+++ b/crates/member/src/source.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: each node that watches the store costs calls with every change. So in a failure domain
 //! with many nodes a few read the store, and the others follow one of them. A node whose source falls
-//! silent tries the next one, and reads the store itself when none is left, so that the configuration in
-//! force at a node does not depend on any other node for longer than a second or two. A reader that
+//! silent tries the next one, and reads the store itself when none is left or [`SourceTiming`] allows no more
+//! time, so that a change is in force in time whichever nodes are lost. A reader that
 //! cannot reach the store follows readers of other domains until it can.
 //!
 //! When the store is lost to all, all readers drop their followers at once. So a node without a source first
@@ -18,6 +18,8 @@
 
 use monsoondeal_core::Time;
 
+use crate::store_contact::SourceTiming;
+
 /// Number of nodes in a failure domain from which on several of them read the store for the others.
 const MIN_SHARED_DOMAIN: usize = 6;
 /// Fewest readers of the store in such a domain.
@@ -33,8 +35,6 @@
 const FOLLOWER_SOURCES: usize = 2;
 /// Time in which a new source must send its first message.
 const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Silence after which a source counts as lost. Sources send messages three times as often.
-const SOURCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How long a node without a source reads the store before it tries its sources again.
 const SOURCE_RETRY_INTERVAL: Duration = Duration::from_secs(5);
 /// How long a node gives its sources to serve it again once a store that was lost answers.
@@ -202,8 +202,11 @@
 /// `SourceSelector` decides whether a node reads the store or follows another node.
 #[derive(Debug)]
 pub struct SourceSelector {
+    timing: SourceTiming,
     role: Option<StoreRole>,
     state: State,
+    /// When a node that has lost its source asks the store itself, whatever sources are left to try.
+    search_until: Time,
     store_use: StoreUse,
     /// Whether the node needs the store but cannot reach it. Set only while it probes or reads the store.
     is_cut_off: bool,
@@ -211,16 +214,23 @@
 
 impl Default for SourceSelector {
     fn default() -> Self {
+        Self::new(SourceTiming::default())
+    }
+}
+
+impl SourceSelector {
+    /// Creates the selector of a node whose role is not known yet.
+    pub fn new(timing: SourceTiming) -> Self {
         Self {
+            timing,
             role: None,
             state: State::NoSource(Time::MAX),
+            search_until: Time::MAX,
             store_use: StoreUse::None,
             is_cut_off: false,
         }
     }
-}
 
-impl SourceSelector {
     /// Returns whether the node has to read the store.
     pub fn is_reading(&self) -> bool {
         self.store_use == StoreUse::Reading
@@ -288,6 +298,7 @@
             return;
         };
         self.state = State::Following { index, heard: now };
+        self.search_until = Time::MAX;
         if self.store_use != StoreUse::None && !self.is_cut_off {
             self.store_use = StoreUse::None;
             out.push(SourceAction::StopReading);
@@ -298,9 +309,13 @@
     pub fn on_disconnect(&mut self, now: Time, out: &mut Vec<SourceAction>) {
         match self.state {
             State::NoSource(_) => {}
+            State::Connecting { .. } if now >= self.search_until => self.stop_following(now, out),
             State::Connecting { index, .. } => self.connect_to(index + 1, now, out),
             // The first source may have been replaced meanwhile, so it is tried again unless it was the one lost.
-            State::Following { index, .. } => self.connect_to(usize::from(index == 0), now, out),
+            State::Following { index, .. } => {
+                self.search_until = now + self.timing.search();
+                self.connect_to(usize::from(index == 0), now, out);
+            }
         }
     }
 
@@ -319,8 +334,10 @@
     pub fn next_wake(&self) -> Option<Time> {
         match self.state {
             State::NoSource(until) => (until != Time::MAX).then_some(until),
-            State::Connecting { since, .. } => Some(since + FIRST_MESSAGE_TIMEOUT),
-            State::Following { heard, .. } => Some(heard + SOURCE_TIMEOUT),
+            State::Connecting { since, .. } => {
+                Some((since + FIRST_MESSAGE_TIMEOUT).min(self.search_until))
+            }
+            State::Following { heard, .. } => Some(heard + self.timing.silence()),
         }
     }
 
@@ -375,6 +392,7 @@
     }
 
     fn stop_following(&mut self, now: Time, out: &mut Vec<SourceAction>) {
+        self.search_until = Time::MAX;
         self.leave_source(out);
         out.push(SourceAction::Disconnect);
         let is_reader = self.role.as_ref().is_some_and(StoreRole::is_reader);
--- a/crates/member/tests/source.rs
+++ b/crates/member/tests/source.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use monsoondeal_core::Time;
-use monsoondeal_member::{FleetNode, SourceAction, SourceSelector, StoreRole, store_role};
+use monsoondeal_member::{
+    FleetNode, SourceAction, SourceSelector, SourceTiming, StoreRole, store_role,
+};
 use rstest::rstest;
 
 fn addr(port: u16) -> SocketAddr {
@@ -219,6 +221,29 @@
     }
 }
 
+/// Guards against a node that tries one silent source after the other while its configuration gets old (CONFIG): it asks
+/// the store itself once the time for that is over.
+#[test]
+fn selector_asks_the_store_though_sources_are_left() {
+    let mut node = Node::follower();
+    node.set_sources(&[1, 2, 3, 4]);
+    node.receive();
+    let heard = node.now;
+    while !node.is_reading {
+        node.advance(Duration::from_millis(50));
+    }
+    let timing = SourceTiming::default();
+    let elapsed = node.now.since(heard);
+    assert!(
+        elapsed <= timing.silence() + timing.search() + Duration::from_millis(50),
+        "{elapsed:?}"
+    );
+    assert!(
+        elapsed > timing.silence() + Duration::from_millis(400),
+        "{elapsed:?}"
+    );
+}
+
 #[test]
 fn selector_with_source_does_not_read_store() {
     let mut node = Node::follower();
