CONFIG: callers that do not read their answers give way, too

A connection that was closed to make room, or for its idle timeout, waited without end for its caller to read the last response, and no longer counted, so such callers could use up the descriptors after all.

Change: a connection that is to be closed is dropped if its last response has not been read after a second.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -120,6 +120,11 @@
         matches!(self.phase.get(), Phase::Head | Phase::Body)
     }
 
+    /// Returns whether a request is being served.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.phase.get() == Phase::Serving
+    }
+
     /// Returns whether the connection has carried no byte yet.
     pub(crate) fn is_unused(&self) -> bool {
         self.is_new.get() && self.phase.get() == Phase::Idle
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -6,7 +6,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::net::TcpStream;
@@ -43,6 +43,9 @@
 /// Time between two checks of whether a connection has been idle for too long.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for a caller to read the last response of a connection that is to be closed.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// State shared by the connections and the hub.
 #[derive(Clone, Debug)]
 pub(crate) struct FrontState {
@@ -197,6 +200,8 @@
     );
     let mut stop = pin!(state.close.clone().fuse());
     let mut closing = pin!(closing.fuse());
+    // Since when the connection is to be closed, for its own timeouts or for others.
+    let mut unwanted_since: Option<Instant> = None;
     loop {
         let timer = pin!(sleep(IDLE_CHECK_INTERVAL));
         let asked = select(stop.as_mut(), closing.as_mut());
@@ -212,12 +217,19 @@
             Either::Right((Either::Right((Either::Right(_), _)), _)) => Wake::MakeRoom,
         };
         let is_expired = activity.is_expired(&state.limits.get());
-        let is_unwanted = is_expired || wake == Wake::MakeRoom;
+        if is_expired || wake == Wake::MakeRoom {
+            unwanted_since.get_or_insert_with(Instant::now);
+        }
+        let is_overdue = unwanted_since.is_some_and(|since| since.elapsed() >= FLUSH_TIMEOUT);
         // Nothing would end these connections but their callers.
-        if is_unwanted && (activity.is_reading() || activity.is_unused()) {
+        if unwanted_since.is_some()
+            && (activity.is_reading()
+                || activity.is_unused()
+                || is_overdue && !activity.is_serving())
+        {
             return;
         }
-        if is_unwanted || wake == Wake::Stop {
+        if unwanted_since.is_some() || wake == Wake::Stop {
             connection.as_mut().graceful_shutdown();
         }
     }
--- a/programs/monsoondeal/tests/descriptors.rs
+++ b/programs/monsoondeal/tests/descriptors.rs
@@ -5,16 +5,17 @@
 mod process;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Stdio;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{config, leaf_entry, request_text, start_leaf, start_leaf_with, wait_until};
+use common::{config, leaf_entry, request_text, start_leaf, wait_until};
 use process::NodeProcess;
 use rstest::rstest;
 use serde_json::{Value, json};
 use soak::store::FakeStore;
+use standin::endless::read_head;
 
 /// File descriptors that the process may have open.
 const MAX_DESCRIPTORS: u32 = 400;
@@ -22,6 +23,17 @@
 const HELD: usize = 450;
 /// Longest time to a response: as long as callers wait for a connection.
 const RESPONSE_TIME: Duration = Duration::from_secs(1);
+/// Descriptors of a process among whose callers are some that do not read.
+const FEW_DESCRIPTORS: u32 = 260;
+/// Connections of callers that such a process has at most: half of its descriptors but 200 for files.
+const FEW_CONNECTIONS: usize = 30;
+/// Number of such callers, and of requests that each of them sends at once.
+const UNREAD: usize = 120;
+const UNREAD_REQUESTS: usize = 8;
+/// Size of a large answer, in bytes.
+const LARGE_BYTES: usize = 900 * 1024;
+/// Longest time until connections are closed to make room: well below the idle timeout.
+const ROOM_TIME: Duration = Duration::from_secs(5);
 /// Work of a slow leaf.
 const SLOW_WORK: Duration = Duration::from_secs(2);
 
@@ -160,6 +172,80 @@
     assert_serves(&node, "after silent connections");
 }
 
+/// Starts a leaf whose answers are larger than what the kernel holds for a caller that does not read.
+fn start_large_leaf() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let body = "x".repeat(LARGE_BYTES);
+        for stream in listener.incoming() {
+            let (mut stream, body) = (stream.expect("a connection"), body.clone());
+            thread::spawn(move || {
+                while let Some(head) = read_head(&mut stream) {
+                    let id = head
+                        .lines()
+                        .find_map(|line| line.strip_prefix("x-monsoondeal-request-id: "));
+                    let id = id.unwrap_or_default();
+                    let text = format!(
+                        "HTTP/1.1 200 OK\r\nx-monsoondeal-request-id: {id}\r\n\
+                         x-monsoondeal-server-stamp: s\r\ncontent-length: {LARGE_BYTES}\r\n\r\n{body}"
+                    );
+                    // The node may have closed the connection.
+                    let _ = stream.write_all(text.as_bytes());
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Returns the number of open connections of callers, as the operators' page shows it.
+fn caller_connections(node: &NodeProcess) -> usize {
+    let mut stream = connect(node.addrs.admin);
+    let text = "GET /state HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+    stream
+        .write_all(text.as_bytes())
+        .expect("an open connection");
+    let mut page = String::new();
+    stream.read_to_string(&mut page).expect("a page");
+    let state = page.split("\r\n\r\n").nth(1).expect("a body");
+    let state: Value = serde_json::from_str(state).expect("JSON");
+    let count = state["caller_connections"].as_u64().expect("a number");
+    usize::try_from(count).expect("a small number")
+}
+
+/// Guards against callers that never read their answers: their connections are closed to make room, too.
+#[test]
+fn callers_that_do_not_read_leave_room() {
+    let store = store_with_leaf(start_large_leaf());
+    let free = leaf_entry(start_leaf(Duration::ZERO), "free", "ready");
+    store.put("servers", "i-free", free);
+    store.put("config", "main", config_with_free_route());
+    let node = NodeProcess::start_limited("unread", store.addr, FEW_DESCRIPTORS, Stdio::null());
+    let front = node.addrs.front;
+    let is_free_served = |id: &str| is_served(&mut connect(front), id, "/free/x");
+    wait_until("the free service", || is_free_served("first"));
+    let mut held = Vec::new();
+    for at in 0..UNREAD {
+        let mut stream = connect(front);
+        for part in 0..UNREAD_REQUESTS {
+            let text = request_text(&format!("unread-{at}-{part}"), "/p/x", "");
+            // The node may have closed the connection.
+            let _ = stream.write_all(text.as_bytes());
+        }
+        held.push(stream);
+        thread::sleep(Duration::from_millis(20));
+    }
+    // Those that are not read are the first to be closed for these.
+    held.extend((0..FEW_CONNECTIONS).map(|_| connect(front)));
+    let started = Instant::now();
+    wait_until("the end of connections that are not read", || {
+        caller_connections(&node) <= FEW_CONNECTIONS
+    });
+    assert!(started.elapsed() < ROOM_TIME, "{:?}", started.elapsed());
+    wait_until("service", || is_free_served("beside"));
+}
+
 /// Returns a configuration with one more route, to a service of its own.
 fn config_with_free_route() -> Value {
     let mut config = config(1, "/p/", "s");
