Connections that are to be closed: the last response gets its whole time to be read

Read again: a connection that was asked to close just as a request arrived on it could be dropped right after the response, as the second was counted from the request to close. It is now counted from the response as well.

--- a/crates/edge/src/edge/timers.rs
+++ b/crates/edge/src/edge/timers.rs
@@ -142,8 +142,8 @@
         }
     }
 
-    /// Replies to a request. Its open calls may go on for [`LINGER_TIME`], but one that may run at most once must not be
-    /// written after the reply.
+    /// Replies to a request. Its open calls may go on for [`LINGER_TIME`], but one that may run at most once must
+    /// not be written after the reply.
     pub(super) fn finish(&mut self, token: Token, reply: Reply, now: Time, out: &mut Vec<Action>) {
         let Some(request) = self.pending.remove(&token) else {
             return;
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::ops::Add;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
 use monsoondeal_edge::Limits;
@@ -120,9 +120,9 @@
         matches!(self.phase.get(), Phase::Head | Phase::Body)
     }
 
-    /// Returns whether a request is being served.
-    pub(crate) fn is_serving(&self) -> bool {
-        self.phase.get() == Phase::Serving
+    /// Returns whether the last response has been ready for some time, and no byte of another request has arrived.
+    pub(crate) fn is_idle_for(&self, span: Duration) -> bool {
+        self.phase.get() == Phase::Idle && self.since.get().elapsed() >= span
     }
 
     /// Returns whether the connection has carried no byte yet.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -220,13 +220,11 @@
         if is_expired || wake == Wake::MakeRoom {
             unwanted_since.get_or_insert_with(Instant::now);
         }
-        let is_overdue = unwanted_since.is_some_and(|since| since.elapsed() >= FLUSH_TIMEOUT);
         // Nothing would end these connections but their callers.
-        if unwanted_since.is_some()
-            && (activity.is_reading()
-                || activity.is_unused()
-                || is_overdue && !activity.is_serving())
-        {
+        let is_overdue = unwanted_since.is_some_and(|since| since.elapsed() >= FLUSH_TIMEOUT)
+            && activity.is_idle_for(FLUSH_TIMEOUT);
+        let is_open_ended = activity.is_reading() || activity.is_unused() || is_overdue;
+        if unwanted_since.is_some() && is_open_ended {
             return;
         }
         if unwanted_since.is_some() || wake == Wake::Stop {
--- a/crates/gateway/src/relay/link.rs
+++ b/crates/gateway/src/relay/link.rs
@@ -27,8 +27,8 @@
 /// Sender of encoded frames to a follower.
 pub(super) type FrameSender = mpsc::Sender<Bytes>;
 
-/// Accepts connections of followers until the process ends, at most `limit` at a time. Others are closed: the node at the
-/// other end tries its next source.
+/// Accepts connections of followers until the process ends, at most `limit` at a time. Others are closed: the node
+/// at the other end tries its next source.
 pub(super) async fn listen(mut acceptor: Acceptor, limit: usize, events: RelaySender) {
     let open: Rc<Cell<usize>> = Rc::default();
     let mut throttle = LogThrottle::default();
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -78,8 +78,8 @@
 }
 
 impl Relay {
-    /// Starts the relay, for at most `max_followers` followers at a time. `updates` are those read from the store, `mode_sender` turns the reader of the store
-    /// on and off.
+    /// Starts the relay, for at most `max_followers` followers at a time. `updates` are those read from the store,
+    /// `mode_sender` turns the reader of the store on and off.
     pub(crate) fn start(
         vm: &str,
         timing: SourceTiming,
