--- a/review/stand-3/stand.rs
+++ b/review/stand-3/stand.rs
@@ -23,8 +23,8 @@
         match case.as_str() {
             "drill-config" => drill_config(&record, &temp, has_trouble),
             "drill-moves" => drill_moves(&record, &temp, has_trouble),
+            "drill-completed" => drill_completed(&record, &temp, has_trouble),
             "drill-members" => drill_members(&record, &temp, has_trouble),
-            "add-cold" => add_cold(&record, &temp, has_trouble),
             "evacuate" => evacuate(&record, &temp, has_trouble),
             _ => Err(std::io::Error::other("no such case")),
         }
@@ -298,6 +298,129 @@
     Ok(Verdict::of(bad as f64 > bound))
 }
 
+/// Time without a heartbeat after which the entry of a leaf is removed.
+const ENTRY_LIFETIME_S: f64 = 3.6;
+/// Time that the callers get after the final fault, as the site's `recovery_s` says.
+const RECOVERY_S: f64 = 12.0;
+
+/// Does what the platform does on the state of a roll-out: at `completed` the old leafs stop at once, at `rolled_back` the
+/// new ones drain some seconds later.
+fn watch_rollout(store: &Store, record: &Record, old: &[Leaf], new: &[Leaf]) {
+    let (store, record, old, new) = (store.clone(), record.clone(), old.to_vec(), new.to_vec());
+    thread::spawn(move || {
+        let mut last = String::new();
+        loop {
+            thread::sleep(secs(0.05));
+            let status = store.status("rollouts", "registro");
+            let state = text_member(&status, "state").unwrap_or_default();
+            if state == last || state.is_empty() {
+                continue;
+            }
+            record.say(&format!("the roll-out of v2 is `{state}`"));
+            if state == "completed" {
+                old.iter().for_each(Leaf::end);
+                old.iter().for_each(|leaf| store.remove("servers", &leaf.name));
+            }
+            if state == "rolled_back" {
+                thread::sleep(secs(3.0));
+                record.say("the leafs of v2 drain");
+                new.iter().for_each(|leaf| {
+                    store.put("servers", &leaf.name, &leaf.entry("draining", 0));
+                });
+                thread::sleep(secs(3.5));
+                new.iter().for_each(Leaf::end);
+                new.iter().for_each(|leaf| store.remove("servers", &leaf.name));
+            }
+            last = state;
+        }
+    });
+}
+
+/// Counts the requests sent in a span of time, and those that were served.
+fn count_served(seen: &Seen, record: &Record, what: &str, (from, to): (f64, f64)) -> (usize, usize) {
+    let calls = seen.calls.lock().unwrap();
+    let sent = calls
+        .values()
+        .filter(|call| (from..to).contains(&call.sent.as_secs_f64()));
+    let sent: Vec<&Call> = sent.collect();
+    let served = sent.iter().filter(|call| (200..300).contains(&call.status)).count();
+    record.say(&format!("{what}: {served} of {} requests served", sent.len()));
+    (served, sent.len())
+}
+
+/// A drill of the store loses the status `completed` of a roll-out. After the final fault the nodes begin the move again.
+fn drill_completed(record: &Record, temp: &Path, has_trouble: bool) -> CaseResult {
+    let seen = Seen::default();
+    let store = Store::start(record)?;
+    let leaf = |name, version, zone| Leaf::start((name, "registro", version, zone), (8, 8, secs(0.01)), record, &seen);
+    let register = |leaf: &Leaf| {
+        store.put("servers", &leaf.name, &leaf.entry("ready", 0));
+    };
+    let old = [leaf("i-1a", "v1", ZONES[0])?, leaf("i-1b", "v1", ZONES[1])?];
+    old.iter().for_each(register);
+    let routes = [("ledger", "idempotent", "registro")];
+    store.put("config", "main", &config(3, &routes, &["registro"], 8_000, 0.0));
+    let mut nodes = start_nodes(temp, 0..6, true, &store, record)?;
+    let mut callers = Callers::new(record, &seen);
+    let start = record.now().as_secs_f64();
+    let load = ("GET", "/ledger/1", 2_000);
+    send_until(&mut callers, &nodes, load, (60.0, start + 5.0));
+
+    let copy = store.copy();
+    record.say(&format!("the copy is made at revision {}", store.revision()));
+    let new = [leaf("i-2a", "v2", ZONES[0])?, leaf("i-2b", "v2", ZONES[1])?];
+    new.iter().for_each(register);
+    send_until(&mut callers, &nodes, load, (60.0, start + 5.5));
+    let order = "{\"service\":\"registro\",\"target_version\":\"v2\",\"duration_s\":4}";
+    store.put("rollouts", "registro", order);
+    record.say("the roll-out of v2, a good version, is ordered, within 4 s");
+    watch_rollout(&store, record, &old, &new);
+    send_until(&mut callers, &nodes, load, (60.0, start + 10.0));
+    if text_member(&store.status("rollouts", "registro"), "state").as_deref() != Some("completed") {
+        return Err(std::io::Error::other("the roll-out was not completed in time"));
+    }
+    if has_trouble {
+        record.say(&format!(
+            "the drill: the store is away for 1 s, at revision {}",
+            store.revision()
+        ));
+        store.leave();
+        send_until(&mut callers, &nodes, load, (60.0, start + 11.0));
+        store.come_back(copy);
+        record.say(&format!(
+            "the store is back from the copy, at revision {}",
+            store.revision()
+        ));
+        // What the operator and the leafs wrote is written again; the old leafs have ended, and write nothing.
+        store.put("rollouts", "registro", order);
+        new.iter().for_each(register);
+        send_until(&mut callers, &nodes, load, (60.0, start + 11.0 + ENTRY_LIFETIME_S));
+        old.iter().for_each(|leaf| store.remove("servers", &leaf.name));
+    }
+    send_until(&mut callers, &nodes, load, (60.0, start + 25.0));
+    let fault_at = record.now().as_secs_f64();
+    let calm = (fault_at - 8.0, fault_at);
+    store.put("config", "main", &config(5, &routes, &["registro"], 8_000, 0.0));
+    record.say("the final fault: a configuration is acknowledged, and all processes are killed");
+    nodes.iter_mut().for_each(Node::kill);
+    thread::sleep(secs(1.3));
+    for node in &mut nodes {
+        node.spawn()?;
+    }
+    let back_at = record.now().as_secs_f64();
+    send_until(&mut callers, &nodes, load, (60.0, back_at + RECOVERY_S + 15.0));
+    thread::sleep(secs(2.5));
+    record.say(&format!(
+        "status of the roll-out of v2: {}",
+        store.status("rollouts", "registro")
+    ));
+    let (served, sent) = count_served(&seen, record, "in the 8 s before the final fault", calm);
+    let was_served = served * 4 >= sent;
+    let late = (back_at + RECOVERY_S, f64::INFINITY);
+    let (served, sent) = count_served(&seen, record, "later than 12 s after the machines were back", late);
+    Ok(Verdict::of(was_served && served * 4 < sent))
+}
+
 /// A drill of the store loses the entries of the nodes, which are never written again. Each node then takes itself for
 /// the only one, and sends a cold leaf all that it bears.
 fn drill_members(record: &Record, temp: &Path, has_trouble: bool) -> CaseResult {
@@ -407,39 +530,6 @@
     Verdict::of(most as f64 > bound)
 }
 
-/// Machines are added while a leaf is cold.
-fn add_cold(record: &Record, temp: &Path, has_trouble: bool) -> CaseResult {
-    let seen = Seen::default();
-    let store = Store::start(record)?;
-    let cold = Leaf::start(
-        ("i-cold", "fatture", "v1", ZONES[0]),
-        (24, 24, secs(0.1)),
-        record,
-        &seen,
-    )?;
-    store.put("servers", &cold.name, &cold.entry("ready", 0));
-    let routes = [("invoice", "non_idempotent", "fatture")];
-    store.put("config", "main", &config(3, &routes, &["fatture"], 8_000, COLD_PER_S));
-    let mut nodes = start_nodes(temp, 0..4, true, &store, record)?;
-    let mut callers = Callers::new(record, &seen);
-    let start = record.now().as_secs_f64();
-    let load = ("POST", "/invoice/1", 2_000);
-    // Requests per second that each machine gets.
-    let mut rates = vec![2.75; 4];
-    send_paced(&mut callers, &nodes, load, (&rates, start + 5.0));
-    if has_trouble {
-        nodes.extend(start_nodes(temp, 4..7, false, &store, record)?);
-        rates.extend([1.8; 3]);
-        record.say("3 machines were added");
-    }
-    store.put("servers", &cold.name, &cold.entry("ready", COLD_WARMUP_MS));
-    record.say("the leaf becomes cold");
-    let cold_at = record.now().as_secs_f64() + 2.0;
-    send_paced(&mut callers, &nodes, load, (&rates, start + 25.0));
-    thread::sleep(secs(2.5));
-    Ok(judge_cold(&seen, record, &cold.name, cold_at))
-}
-
 /// A zone is evacuated while its leaf is busy.
 fn evacuate(record: &Record, temp: &Path, has_trouble: bool) -> CaseResult {
     let seen = Seen::default();
