--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-rustc --edition 2024 -O -o target/review-3/stand review/stand-3/stand.rs
+rustc --edition 2024 -O -o target/review-3/cases3 review/cases3.rs
--- a/review/stand-3/stand.rs
+++ b/review/cases3.rs
@@ -1,18 +1,18 @@
-//! The cases of this review: `stand CASE DIR`, run in the repository root. With `TROUBLE=0` in the environment the
+//! The cases of this review: `cases3 CASE DIR`, run in the repository root. With `TROUBLE=0` in the environment the
 //! disruption is left out. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
-mod kit;
+mod stage3;
 
 use std::path::Path;
 use std::process::exit;
 use std::thread;
 
-use kit::*;
+use stage3::*;
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let [_, case, dir] = &args[..] else {
-        eprintln!("usage: stand CASE DIR");
+        eprintln!("usage: cases3 CASE DIR");
         exit(2);
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
@@ -325,6 +325,7 @@
                 thread::sleep(secs(3.0));
                 record.say("the leafs of v2 drain");
                 new.iter().for_each(|leaf| {
+                    leaf.leave();
                     store.put("servers", &leaf.name, &leaf.entry("draining", 0));
                 });
                 thread::sleep(secs(3.5));
@@ -498,7 +499,8 @@
 const COLD_PER_S: f64 = 5.0;
 /// Requests in one second above which the cold leaf crashes: more than the rule allows, and well above what it tolerates.
 const CRASH_ABOVE: f64 = 14.0;
-const COLD_WARMUP_MS: u64 = 30_000;
+/// As `warmup_s` of the configuration.
+const COLD_WARMUP_MS: u64 = 20_000;
 
 /// Returns the most requests that a leaf got in one second: those that were sent and arrived inside it.
 fn most_in_a_second(seen: &Seen, leaf: &str, from: f64) -> (usize, f64) {
@@ -554,7 +556,7 @@
     let next = record.now().as_secs_f64() + 1.0;
     send_until(&mut callers, &nodes, load, (6.0, next));
     let acknowledged = if has_trouble {
-        store.put("evacuations", ZONES[0], &format!("{{\"zone\":\"{}\"}}", ZONES[0]));
+        store.put("evacuations", ZONES[0], "{}");
         record.say("the evacuation of the zone is acknowledged");
         record.now()
     } else {
--- a/review/stand-3/kit.rs
+++ b/review/stage3.rs
@@ -551,6 +551,8 @@
     requests: usize,
     /// When each slot becomes free.
     slots: Vec<Duration>,
+    /// Whether the leaf is leaving, which it says in all its answers.
+    is_leaving: bool,
     is_down: bool,
     /// Requests in one second above which the leaf crashes, while it is cold.
     crash_above: f64,
@@ -588,6 +590,7 @@
             busy: 0,
             requests: 0,
             slots: vec![Duration::ZERO; slots],
+            is_leaving: false,
             is_down: false,
             crash_above: f64::INFINITY,
             arrivals: Vec::new(),
@@ -632,6 +635,19 @@
         self.lock().requests
     }
 
+    /// The leaf is leaving from now on.
+    pub fn leave(&self) {
+        self.lock().is_leaving = true;
+    }
+
+    fn leaving_field(&self) -> &'static str {
+        if self.lock().is_leaving {
+            "server-leaving: 1\r\n"
+        } else {
+            ""
+        }
+    }
+
     /// The leaf ends: its connections are closed, and it accepts no others.
     pub fn end(&self) {
         let mut state = self.lock();
@@ -679,7 +695,7 @@
         };
         let named = request.field("x-monsoondeal-target-instance").unwrap_or(&self.name);
         if named != self.name {
-            let fields = format!("{echo}x-monsoondeal-not-executed: 1\r\n");
+            let fields = format!("{echo}{}x-monsoondeal-not-executed: 1\r\n", self.leaving_field());
             return respond(stream, 421, &fields, b"").ok();
         }
         let at = self.record.now();
@@ -696,7 +712,8 @@
         }
         if state.busy >= self.slots + self.queue {
             drop(state);
-            return respond(stream, 503, &format!("{echo}x-monsoondeal-not-executed: 1\r\n"), b"").ok();
+            let fields = format!("{echo}{}x-monsoondeal-not-executed: 1\r\n", self.leaving_field());
+            return respond(stream, 503, &fields, b"").ok();
         }
         let mut is_crash = false;
         if !is_check {
@@ -743,16 +760,22 @@
             return None;
         }
         if is_check {
+            let status = if state.is_leaving { 503 } else { 200 };
             drop(state);
-            let fields = format!("x-monsoondeal-instance-id: {}\r\nkeep-alive: timeout=5\r\n", self.name);
-            return respond(stream, 200, &fields, b"").ok();
+            let leaving = self.leaving_field();
+            let fields = format!(
+                "x-monsoondeal-instance-id: {}\r\n{leaving}keep-alive: timeout=5\r\n",
+                self.name
+            );
+            return respond(stream, status, &fields, b"").ok();
         }
         state.answers += 1;
         let fails = state.fails_one_in > 0 && state.answers % state.fails_one_in == 0;
         drop(state);
         let status = if fails { 500 } else { 200 };
         let fields = format!(
-            "{echo}keep-alive: timeout=5\r\nx-monsoondeal-server-stamp: {}.{at:?}\r\n",
+            "{echo}{}keep-alive: timeout=5\r\nx-monsoondeal-server-stamp: {}.{at:?}\r\n",
+            self.leaving_field(),
             self.name
         );
         respond(stream, status, &fields, b"0123456789abcdef").ok()
