Version moves: go on over a return of the store

Cause: what is missing in a listing was taken for withdrawn, and what is written again for new.

Change: a node that finds a later era tells its followers, with the configuration. For the 5 s in which what was lost is written again an order for the same version and duration is the same one, missing orders aren't withdrawn, versions without an order aren't established, and an order that another had replaced isn't begun. Any other order is begun at once.

Evidence: crates/edge/tests/restored_store.rs and follower_learns_that_the_store_was_restored, which need the new inputs. Two of the cases come from a trace: beside load the stand-in gave an order the number of an earlier one for its version, and the order was held back.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use monsoondeal_core::Revision;
 use serde::{Deserialize, Serialize};
 
 use crate::plan::{PlanId, QueryPlan};
@@ -107,6 +108,8 @@
 pub struct Config {
     /// Version; increases with each configuration.
     pub version: u64,
+    /// Revision of the store at which it was read. The era is the newest one that the node that sends it knows.
+    pub listed: Revision,
     /// Services by name.
     pub services: HashMap<Name, Service>,
     /// Limits for callers.
@@ -127,6 +130,9 @@
 #[derive(Deserialize)]
 struct StoredConfig {
     version: u64,
+    /// Unknown if an earlier program wrote it.
+    #[serde(default)]
+    listed: Revision,
     services: HashMap<Name, Service>,
     limits: Limits,
     shards: HashSet<Name>,
@@ -137,6 +143,7 @@
     fn from(stored: StoredConfig) -> Self {
         Self {
             version: stored.version,
+            listed: stored.listed,
             services: stored.services,
             limits: stored.limits,
             shards: stored.shards,
@@ -172,6 +179,7 @@
         }
         Self {
             version,
+            listed: Revision::default(),
             services,
             limits,
             shards,
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -162,6 +162,8 @@
 pub struct Edge {
     settings: EdgeSettings,
     config: Option<Rc<Config>>,
+    /// Newest known era of the store; zero until it is known.
+    era: u64,
     /// Whether a full listing of the leafs has been received.
     leafs_listed: bool,
     /// Whether the list of closed failure domains has been received.
@@ -207,6 +209,7 @@
             after_restart: !settings.former_time.is_zero(),
             settings,
             config: None,
+            era: 0,
             leafs_listed: false,
             domains_listed: false,
             peers: Vec::new(),
@@ -268,6 +271,11 @@
         self.shares.nodes()
     }
 
+    /// Returns the newest known era of the store; zero if it is not known.
+    pub fn store_era(&self) -> u64 {
+        self.era
+    }
+
     /// Ends all requests under way, for a process that must exit.
     pub fn stop(&mut self, now: Time, out: &mut Vec<Action>) {
         let tokens: Vec<Token> = self.pending.keys().copied().collect();
--- a/crates/edge/src/edge/updates.rs
+++ b/crates/edge/src/edge/updates.rs
@@ -17,6 +17,21 @@
 use crate::version_moves::MoveOrder;
 
 impl Edge {
+    /// Records the store's era. A later one than the known one means that the store was restored from a copy some seconds
+    /// old: what it lacks is not withdrawn, and what it shows may be outdated, until it has been written again.
+    pub fn note_store_era(&mut self, era: u64, now: Time, out: &mut Vec<Action>) {
+        if era <= self.era {
+            return;
+        }
+        let is_restored = self.era > 0;
+        self.era = era;
+        if !is_restored {
+            return;
+        }
+        self.moves.store_restored(now);
+        self.drive_moves(now, out);
+    }
+
     /// Puts a configuration in force unless the present one is as new or newer. Returns whether it was put
     /// in force. Requests under way keep the configuration that they began with.
     pub fn set_config<C>(&mut self, config: C) -> bool
--- a/crates/edge/src/ledger_client.rs
+++ b/crates/edge/src/ledger_client.rs
@@ -8,6 +8,8 @@
     LatencyHistogram, MoveLimits, OrderId, Posting, PostingReply, Ruling, Totals,
 };
 
+use smallvec::SmallVec;
+
 use crate::config::Name;
 
 /// Wait after a posting that could not be written; doubles with each further one.
@@ -496,6 +498,8 @@
     pub service: Name,
     /// Identity of the order.
     pub id: OrderId,
+    /// Identities that the order had before the store was restored from an older copy.
+    pub former_ids: SmallVec<[OrderId; 1]>,
     /// The new version.
     pub version: Name,
     /// Limits of the move.
--- a/crates/edge/src/version_moves.rs
+++ b/crates/edge/src/version_moves.rs
@@ -25,6 +25,10 @@
 /// move's duration that this time may be.
 const ANNOUNCE_DELAY: Duration = Duration::from_secs(1);
 const ANNOUNCE_PART: f64 = 0.1;
+/// Time after a return of the store from an older copy until what was written since the copy has been written again.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+/// Maximum number of earlier orders and identities per service that are remembered.
+const MAX_FORMER: usize = 8;
 
 /// `MoveState` is the state of a version move, as all nodes know it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
@@ -118,6 +122,8 @@
 #[derive(Debug)]
 struct Move {
     order: MoveOrder,
+    /// Identities that the order had before the store was restored from an older copy.
+    former_ids: SmallVec<[OrderId; 1]>,
     ledger: LedgerClient,
     seen_at: Time,
     /// Versions that the service had before the move was completed. Calls to their leafs stop at once.
@@ -157,7 +163,41 @@
     }
 
     fn is_for(&self, order: &MoveOrder) -> bool {
-        self.order.version == order.version && self.order.id.is_same(order.id)
+        self.order.version == order.version && self.has_id(order.id)
+    }
+
+    /// Returns whether this is, or was before a return of the store, the identity of the order.
+    fn has_id(&self, id: OrderId) -> bool {
+        let mut former = self.former_ids.iter();
+        self.order.id.is_same(id) || former.any(|former| former.is_same(id))
+    }
+
+    /// Returns whether an order is the same as this one, written again after a return of the store. Once the store has
+    /// settled, it is a new one, unless the service has been moved already.
+    fn is_restored_by(&self, order: &MoveOrder, is_settled: bool) -> bool {
+        let (held, listed) = (self.order.id.revision, order.id.revision);
+        let is_later_era = held.is_of_earlier_era(listed);
+        let was_renamed = held.era == listed.era && !self.former_ids.is_empty();
+        let is_completed = self.order.state == MoveState::Completed;
+        let is_rewritten = match is_settled {
+            false => is_later_era || was_renamed,
+            true => is_later_era && is_completed,
+        };
+        let is_same = self.order.version == order.version && self.order.duration == order.duration;
+        is_rewritten && is_same && !self.is_withdrawn
+    }
+
+    /// Takes over the identity that the order has in the restored store.
+    fn rename(&mut self, id: OrderId) {
+        self.former_ids.push(self.order.id);
+        if self.former_ids.len() > MAX_FORMER {
+            self.former_ids.remove(0);
+        }
+        self.order.id = id;
+        // What was asked for under the former identity may have come to nothing.
+        if self.is_running() {
+            self.requested = None;
+        }
     }
 
     fn count(&self) -> MoveCount {
@@ -176,10 +216,9 @@
             (held, listed) if held.is_final() && !listed.is_final() => held,
             (_, listed) => listed,
         };
-        let id = match order.id.revision.number {
-            0 => self.order.id,
-            _ => order.id,
-        };
+        // An earlier program, or the state from before a return of the store, names the order otherwise.
+        let is_current = order.id.revision.number > 0 && self.order.id.is_same(order.id);
+        let id = if is_current { order.id } else { self.order.id };
         self.order = MoveOrder { id, state, ..order };
     }
 }
@@ -228,9 +267,32 @@
 pub(crate) struct VersionMoves {
     /// The latest move of each service, kept after its end.
     moves: HashMap<Name, Move>,
+    /// Orders that others of their service have replaced, oldest first.
+    replaced: HashMap<Name, SmallVec<[Replaced; 2]>>,
+    /// When the store has settled after it was restored from an older copy: what the operators had written since the copy
+    /// has been written again.
+    settles_at: Time,
     versions: Versions,
 }
 
+/// An order that another one has replaced.
+#[derive(Debug)]
+struct Replaced {
+    id: OrderId,
+    version: Name,
+}
+
+impl Replaced {
+    /// Returns whether an order that a restored store lists is this one: a copy keeps the numbers.
+    fn is_copy(&self, order: &MoveOrder) -> bool {
+        let (held, listed) = (self.id, order.id);
+        self.version == order.version
+            && held.created == listed.created
+            && held.revision.number == listed.revision.number
+            && held.revision.is_of_earlier_era(listed.revision)
+    }
+}
+
 impl VersionMoves {
     /// Returns whether the orders have been listed.
     pub(crate) fn orders_listed(&self) -> bool {
@@ -245,6 +307,32 @@
         }
     }
 
+    /// Records that the store was restored from an older copy: until it has settled, orders that it lacks are not taken to
+    /// be withdrawn.
+    pub(crate) fn store_restored(&mut self, now: Time) {
+        self.settles_at = now + SETTLE_TIME;
+    }
+
+    /// Returns whether an order is one that another has replaced, in the older copy from which the store was restored a
+    /// moment ago.
+    fn is_outdated(&self, order: &MoveOrder, now: Time) -> bool {
+        let replaced = self.replaced.get(&order.service);
+        let is_copy = replaced.is_some_and(|list| list.iter().any(|r| r.is_copy(order)));
+        is_copy && now < self.settles_at
+    }
+
+    /// Remembers an order that another one replaces.
+    fn remember_replaced(&mut self, order: &MoveOrder) {
+        let list = self.replaced.entry(order.service.clone()).or_default();
+        list.push(Replaced {
+            id: order.id,
+            version: order.version.clone(),
+        });
+        if list.len() > MAX_FORMER {
+            list.remove(0);
+        }
+    }
+
     /// Replaces the orders, each with the limits of its move. `begin` creates the ledger client of a move
     /// that is new to this node.
     pub(crate) fn set_orders<F>(
@@ -273,16 +361,29 @@
         F: FnMut(&Name, MoveLimits) -> LedgerClient,
     {
         let service = order.service.clone();
+        let is_settled = now >= self.settles_at;
         let mut mv = match self.moves.remove(&service) {
-            // The listing is older than what this node knows.
-            Some(held) if order.id.is_before(held.order.id) => held,
             Some(mut held) if held.is_for(&order) => {
                 held.missing_since = None;
                 held.ledger.set_limits(limits);
                 held.update(order, now);
                 held
             }
-            _ => {
+            Some(mut held) if held.is_restored_by(&order, is_settled) => {
+                held.missing_since = None;
+                held.rename(order.id);
+                held.ledger.set_limits(limits);
+                held.update(order, now);
+                held
+            }
+            // The listing is older than what this node knows.
+            Some(held) if order.id.is_before(held.order.id) || self.is_outdated(&order, now) => {
+                held
+            }
+            held => {
+                if let Some(held) = held {
+                    self.remember_replaced(&held.order);
+                }
                 self.versions.mark_tried(&service, &order.version);
                 let mut ledger = begin(&service, limits);
                 ledger.note_elapsed(order.elapsed, now);
@@ -295,6 +396,7 @@
                     cause: MoveCause::Ordered,
                     requested: None,
                     reported: (0, now),
+                    former_ids: SmallVec::new(),
                     order,
                 }
             }
@@ -418,6 +520,7 @@
             Some(MovePost {
                 service: mv.order.service.clone(),
                 id: mv.order.id,
+                former_ids: mv.former_ids.clone(),
                 version: mv.order.version.clone(),
                 limits: *mv.ledger.limits(),
                 posting,
@@ -434,8 +537,7 @@
         jitter: f64,
         now: Time,
     ) {
-        let is_for =
-            |mv: &&mut Move| mv.order.version == post.version && mv.order.id.is_same(post.id);
+        let is_for = |mv: &&mut Move| mv.order.version == post.version && mv.has_id(post.id);
         let Some(mv) = self.moves.get_mut(&post.service).filter(is_for) else {
             return;
         };
@@ -454,13 +556,18 @@
         mv.apply_end(&mut self.versions);
     }
 
-    /// Returns whether the orders must be fetched now, and records that the fetch starts.
+    /// Returns whether the orders must be fetched now, and records that the fetch starts. A restored store that has not
+    /// settled can't tell that an order was withdrawn.
     pub(crate) fn start_fetch(&mut self, now: Time) -> bool {
-        self.versions.start_fetch(now)
+        now >= self.settles_at && self.versions.start_fetch(now)
     }
 
     /// Records that the orders of a fetch that started at `started_at` have been applied.
     pub(crate) fn orders_fetched(&mut self, started_at: Time) {
+        if started_at < self.settles_at {
+            self.versions.fetch_failed();
+            return;
+        }
         self.versions.orders_fetched(started_at);
         // A version whose order was withdrawn is not called, unless the service has no other leafs left:
         // this node may have missed the completion of the move.
@@ -519,7 +626,8 @@
             let announce = (!is_announced).then(|| mv.announce_at());
             [mv.ledger.next_post_at(), announce]
         });
-        wakes.flatten().chain(self.versions.next_fetch()).min()
+        let fetch = self.versions.next_fetch().map(|at| at.max(self.settles_at));
+        wakes.flatten().chain(fetch).min()
     }
 }
 
--- a/crates/edge/src/versions.rs
+++ b/crates/edge/src/versions.rs
@@ -146,6 +146,11 @@
         self.recheck_since = Some(now);
     }
 
+    /// Records that the fetch that is under way has told nothing.
+    pub(crate) fn fetch_failed(&mut self) {
+        self.fetch_started = None;
+    }
+
     /// Records that the orders of a fetch that started at `started_at` have been applied. Versions seen
     /// before that have no order and become established.
     pub(crate) fn orders_fetched(&mut self, started_at: Time) {
--- /dev/null
+++ b/crates/edge/tests/restored_store.rs
@@ -0,0 +1,202 @@
+//! A node while the store is restored from an older copy: what it keeps, what it writes again, and what it begins.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Node, config, leaf, service_route, success};
+use monsoondeal_core::Revision;
+use monsoondeal_edge::{EdgeSettings, LeafEntry, MoveOrder, MoveState, Name, Repeat};
+use monsoondeal_moves::OrderId;
+use rstest::rstest;
+
+/// Time from the order to its deadline.
+const MOVE_DURATION: Duration = Duration::from_secs(12);
+
+fn leaf_of(version: &str) -> LeafEntry {
+    LeafEntry {
+        version: Name::from(version),
+        ..leaf(&format!("{version}-1"), "s")
+    }
+}
+
+/// Returns the identity of an order that was written in an era.
+fn id_in(era: u64, created: u64, number: u64) -> OrderId {
+    OrderId {
+        created,
+        revision: Revision::new(era, number),
+    }
+}
+
+fn order(id: OrderId, version: &str, state: MoveState) -> MoveOrder {
+    MoveOrder {
+        service: Name::from("s"),
+        id,
+        version: Name::from(version),
+        duration: MOVE_DURATION,
+        elapsed: Duration::ZERO,
+        state,
+    }
+}
+
+/// Creates a node in the first era, with leafs of `v1` and `v2`, and the order for `v2` as the revision 20.
+fn node(state: MoveState) -> Node {
+    let route = service_route("r", "s", Repeat::Idempotent);
+    let settings = EdgeSettings {
+        nodes: 1,
+        repeat_ratio: 0.25,
+        repeat_slack: 50.0,
+        exposure_slack: 50.0,
+        ..EdgeSettings::default()
+    };
+    let leafs = vec![leaf_of("v1"), leaf_of("v2")];
+    let mut node = Node::with_settings(settings, config(1, vec![route], 40), leafs);
+    enter_era(&mut node, 1);
+    set_moves(&mut node, vec![order(id_in(1, 7, 20), "v2", state)]);
+    node.fetch_time = None;
+    node
+}
+
+fn enter_era(node: &mut Node, era: u64) {
+    node.apply(|edge, now, out| edge.note_store_era(era, now, out));
+}
+
+fn set_moves(node: &mut Node, orders: Vec<MoveOrder>) {
+    node.apply(|edge, now, out| edge.set_moves(orders, now, out));
+}
+
+/// Returns the decisions so far: the number of the order's era, its version, and the state.
+fn decisions(node: &Node) -> Vec<(u64, &str, MoveState)> {
+    let decisions = node.decisions.iter();
+    decisions
+        .map(|d| (d.id.revision.era, &*d.version, d.state))
+        .collect()
+}
+
+/// Guards against an earlier order that is begun anew since the copy still holds it (missed moves). One that stays is an
+/// order.
+#[test]
+fn replaced_order_of_the_copy_is_not_begun() {
+    let mut node = node(MoveState::Asked);
+    let next = order(id_in(1, 7, 25), "v3", MoveState::Running);
+    set_moves(&mut node, vec![next]);
+    node.decisions.clear();
+    enter_era(&mut node, 2);
+    let copied = order(id_in(2, 7, 20), "v2", MoveState::Asked);
+    set_moves(&mut node, vec![copied.clone()]);
+    node.run_for(Duration::from_secs(2));
+    assert_eq!(decisions(&node), []);
+    let again = order(id_in(2, 7, 22), "v3", MoveState::Asked);
+    set_moves(&mut node, vec![again]);
+    node.run_for(Duration::from_secs(2));
+    assert_eq!(decisions(&node), [(2, "v3", MoveState::Running)]);
+
+    node.run_for(Duration::from_secs(4));
+    let later = order(id_in(2, 7, 24), "v2", MoveState::Asked);
+    set_moves(&mut node, vec![later]);
+    node.run_for(Duration::from_secs(2));
+    assert_eq!(
+        decisions(&node).last(),
+        Some(&(2, "v2", MoveState::Running))
+    );
+}
+
+/// Guards against an order that is taken for an earlier one for the same version, since it got the number of that again.
+#[test]
+fn order_written_again_gets_the_number_of_an_earlier_one() {
+    let mut node = node(MoveState::RolledBack);
+    let again = order(id_in(1, 7, 25), "v2", MoveState::Asked);
+    set_moves(&mut node, vec![again]);
+    enter_era(&mut node, 2);
+    let written_again = order(id_in(2, 7, 20), "v2", MoveState::Asked);
+    set_moves(&mut node, vec![written_again]);
+    node.run_for(Duration::from_secs(2));
+    assert_eq!(decisions(&node), [(2, "v2", MoveState::Running)]);
+}
+
+/// Guards against a move that is never announced, since that was asked for under the former identity of its order.
+#[test]
+fn move_is_announced_under_the_new_identity() {
+    let mut node = node(MoveState::Asked);
+    enter_era(&mut node, 2);
+    node.run_for(Duration::from_secs(2));
+    assert_eq!(decisions(&node), [(1, "v2", MoveState::Running)]);
+    set_moves(
+        &mut node,
+        vec![order(id_in(2, 3, 4), "v2", MoveState::Asked)],
+    );
+    node.run_for(Duration::from_secs(2));
+    assert_eq!(decisions(&node)[1..], [(2, "v2", MoveState::Running)]);
+}
+
+/// Guards against orders that are held back since their numbers are lower than those of earlier ones (EXPOSURE, review/13).
+#[rstest]
+fn new_order_after_the_return_is_begun_at_once(
+    #[values(MoveState::Running, MoveState::Completed, MoveState::RolledBack)] held: MoveState,
+) {
+    let mut node = node(held);
+    enter_era(&mut node, 2);
+    set_moves(
+        &mut node,
+        vec![order(id_in(2, 3, 4), "v3", MoveState::Asked)],
+    );
+    node.run_for(Duration::from_millis(1_100));
+    assert_eq!(decisions(&node), [(2, "v3", MoveState::Running)]);
+}
+
+/// Guards against an order that is taken to be withdrawn since the copy lacks it. One that nobody writes again is.
+#[test]
+fn missing_order_is_withdrawn_only_once_the_store_has_settled() {
+    let mut node = node(MoveState::Running);
+    enter_era(&mut node, 2);
+    set_moves(&mut node, vec![]);
+    node.run_for(Duration::from_millis(4_900));
+    assert_eq!(node.fetch_time, None);
+    node.run_for(Duration::from_millis(200));
+    let fetched_at = node.fetch_time.expect("a fetch of the orders");
+    node.apply(|edge, now, out| edge.orders_fetched(vec![], fetched_at, now, out));
+    node.request("r");
+    assert_eq!(&*node.calls[0].instance, "v1-1");
+    assert!(!decisions(&node).contains(&(2, "v2", MoveState::RolledBack)));
+}
+
+/// Guards against a node that waits for ever for the reply to a posting that it sent before the return.
+#[test]
+fn posting_in_flight_ends_over_the_return() {
+    let mut node = node(MoveState::Running);
+    node.request("r");
+    let call = node.calls[0].call;
+    node.end_call(call, success("1"));
+    node.run_for(Duration::from_secs(1));
+    let sent = node.posts.remove(0);
+    enter_era(&mut node, 2);
+    set_moves(
+        &mut node,
+        vec![order(id_in(2, 3, 4), "v2", MoveState::Asked)],
+    );
+    node.run_for(Duration::from_secs(2));
+    assert!(node.posts.is_empty());
+    node.apply(|edge, now, out| edge.post_ended(&sent, None, now, out));
+    node.run_for(Duration::from_secs(2));
+    let again = node.posts.first().expect("a posting");
+    assert_eq!(again.id, id_in(2, 3, 4));
+    assert_eq!(again.former_ids.as_slice(), [id_in(1, 7, 20)]);
+    assert_eq!(again.posting.sequence, sent.posting.sequence);
+}
+
+/// A listing of an earlier era changes nothing.
+#[test]
+fn listing_of_earlier_era_is_ignored() {
+    let mut node = node(MoveState::Completed);
+    enter_era(&mut node, 2);
+    let renamed = order(id_in(2, 3, 4), "v3", MoveState::Asked);
+    set_moves(&mut node, vec![renamed]);
+    node.run_for(Duration::from_secs(2));
+    let count = node.decisions.len();
+    set_moves(
+        &mut node,
+        vec![order(id_in(1, 9, 99), "v2", MoveState::Asked)],
+    );
+    node.run_for(Duration::from_secs(2));
+    assert_eq!(node.decisions.len(), count);
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -46,6 +46,10 @@
     /// and not relayed.
     #[serde(skip)]
     StoreReachable(bool),
+    /// The store was restored from an older copy, and is in this era now. It is local to each node and not relayed: the
+    /// configuration that follows names the era.
+    #[serde(skip)]
+    StoreRestored(u64),
 }
 
 /// `ReaderMode` is how the node uses the store for its updates.
@@ -62,9 +66,9 @@
 /// Sender of reader modes to the store reader.
 pub type ReaderModeSender = mpsc::UnboundedSender<ReaderMode>;
 
-/// `MoveCommand` is a read or write of version moves in the store.
+/// `StoreCommand` is a read or write of version moves in the store.
 #[derive(Debug)]
-pub enum MoveCommand {
+pub enum StoreCommand {
     /// Records a change of a move's state. It is retried for as long as the store is unreachable.
     RecordDecision(MoveDecision),
     /// Writes a posting to the ledger of a move, and replies once it is written. The sender is dropped if the write may
@@ -75,7 +79,7 @@
 }
 
 /// Sender of commands about version moves.
-pub type MoveCommandSender = mpsc::UnboundedSender<MoveCommand>;
+pub type StoreCommandSender = mpsc::UnboundedSender<StoreCommand>;
 
 /// Sender of updates.
 pub type UpdateSender = mpsc::UnboundedSender<Update>;
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -28,8 +28,8 @@
 use crate::counters::{self, MetricValues};
 use crate::error::GatewayError;
 use crate::event::{
-    Event, EventSender, InboundRequest, MoveCommand, MoveCommandSender, Purpose, ReaderModeSender,
-    Update, send,
+    Event, EventSender, InboundRequest, Purpose, ReaderModeSender, StoreCommand,
+    StoreCommandSender, Update, send,
 };
 use crate::front::FrontState;
 use crate::leafs::{CallTask, CloseCause, Connection, ConnectionEnd, take_idle};
@@ -52,7 +52,7 @@
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Runs a gateway until `stop` signals a planned stop. `updates` are those read from the store,
-/// `reader_modes` turns the reader of the store on and off, and `move_commands` reads and writes version
+/// `reader_modes` turns the reader of the store on and off, and `store_commands` reads and writes version
 /// moves.
 ///
 /// # Errors
@@ -62,7 +62,7 @@
     settings: GatewaySettings,
     updates: mpsc::UnboundedReceiver<Update>,
     reader_modes: ReaderModeSender,
-    move_commands: MoveCommandSender,
+    store_commands: StoreCommandSender,
     stop: SignalReceiver,
 ) -> Result<(), GatewayError> {
     let (events, inbox) = mpsc::unbounded();
@@ -132,7 +132,7 @@
         faulty_ends: 0,
         answer_budget: ReadBudget::new(MAX_ANSWERS_BYTES),
         stop_settings: settings.stop,
-        move_commands,
+        store_commands,
         stop_stage: StopStage::Running,
         close: Some(close),
     };
@@ -236,7 +236,7 @@
     /// Memory for the answers of all calls.
     answer_budget: ReadBudget,
     stop_settings: StopSettings,
-    move_commands: MoveCommandSender,
+    store_commands: StoreCommandSender,
     stop_stage: StopStage,
     /// Closes the listener and idle connections when dropped.
     close: Option<oneshot::Sender<()>>,
@@ -360,7 +360,8 @@
         match update {
             Update::Config(config) => {
                 let (version, limits) = (config.version, config.limits);
-                let routes = config.route_count();
+                let (routes, era) = (config.route_count(), config.listed.era);
+                self.step(|edge, now, out| edge.note_store_era(era, now, out));
                 if self.edge.set_config(config) {
                     self.front.limits.set(limits);
                     log::info!(version, routes; "configuration in force");
@@ -400,7 +401,7 @@
                 log::info!(orders:? = orders; "version moves");
                 self.step(|edge, now, out| edge.set_moves(orders, now, out));
             }
-            Update::StoreReachable(_) => {}
+            Update::StoreReachable(_) | Update::StoreRestored(_) => {}
             Update::Peers(peers) => {
                 let nodes = peers.len();
                 if nodes != self.edge.nodes() {
@@ -481,7 +482,7 @@
             }
             Action::Move(decision) => {
                 logs::move_decided(&decision);
-                self.send_move_command(MoveCommand::RecordDecision(decision));
+                self.send_store_command(StoreCommand::RecordDecision(decision));
             }
             Action::Post(post) => self.post(post),
             Action::FetchOrders => self.fetch_orders(),
@@ -497,11 +498,9 @@
         }
     }
 
-    fn send_move_command(&self, command: MoveCommand) {
-        if self.move_commands.unbounded_send(command).is_err() {
-            log::error!(
-                "command about a version move dropped: the task that writes to the store has ended"
-            );
+    fn send_store_command(&self, command: StoreCommand) {
+        if self.store_commands.unbounded_send(command).is_err() {
+            log::error!("command dropped: the task that writes to the store has ended");
         }
     }
 
@@ -509,7 +508,7 @@
     fn post(&self, post: MovePost) {
         let (sender, reply) = oneshot::channel();
         let post = Box::new(post);
-        self.send_move_command(MoveCommand::Post(post.clone(), sender));
+        self.send_store_command(StoreCommand::Post(post.clone(), sender));
         let events = self.events.clone();
         spawn(async move {
             send(&events, Event::PostEnded(post, reply.await.ok()));
@@ -522,7 +521,7 @@
     fn fetch_orders(&self) {
         let (sender, answer) = oneshot::channel();
         let sent_at = self.clock.now();
-        self.send_move_command(MoveCommand::FetchOrders(sender));
+        self.send_store_command(StoreCommand::FetchOrders(sender));
         let events = self.events.clone();
         spawn(async move {
             if let Ok(orders) = answer.await {
@@ -655,6 +654,7 @@
             "routes": self.edge.config().map_or(0, |config| config.route_count()),
             "leafs": self.edge.directory().len(),
             "nodes": self.edge.nodes(),
+            "store_era": self.edge.store_era(),
             "requests": self.edge.open_requests(),
             "calls": self.edge.open_calls(),
             "idle_connections": self.idle.values().map(Vec::len).sum::<usize>(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,7 +26,7 @@
 pub use dial::{connect, keep_alive};
 pub use error::GatewayError;
 pub use event::{
-    MoveCommand, MoveCommandSender, ReaderMode, ReaderModeSender, Update, UpdateSender,
+    ReaderMode, ReaderModeSender, StoreCommand, StoreCommandSender, Update, UpdateSender,
 };
 pub use hub::run;
 pub use monsoondeal_member::SourceTiming;
--- a/crates/gateway/src/relay/mirror.rs
+++ b/crates/gateway/src/relay/mirror.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
-use monsoondeal_core::Time;
+use monsoondeal_core::{Revision, Time};
 use monsoondeal_edge::{Config, LeafEntry, MoveOrder, Name, Peer};
 
 use crate::event::Update;
@@ -34,7 +34,10 @@
         match update {
             Update::Config(config) => {
                 let held = self.config.as_ref();
-                if held.is_none_or(|held| held.version < config.version) {
+                let is_newer = |held: &Rc<Config>| {
+                    (held.version, held.listed.era) < (config.version, config.listed.era)
+                };
+                if held.is_none_or(is_newer) {
                     self.config = Some(config.clone());
                 }
             }
@@ -60,10 +63,20 @@
             Update::ConfigCurrent
             | Update::RegistryLost
             | Update::Settings(_)
-            | Update::StoreReachable(_) => {}
+            | Update::StoreReachable(_)
+            | Update::StoreRestored(_) => {}
         }
     }
 
+    /// Returns the configuration as of a return of the store to this era; `None` if the configuration is not known, or is
+    /// of that era or a later one.
+    pub(super) fn restored_config(&self, era: u64) -> Option<Config> {
+        let held = self.config.as_ref().filter(|held| held.listed.era < era)?;
+        let mut config = Config::clone(held);
+        config.listed = Revision::new(era, 0);
+        Some(config)
+    }
+
     /// Returns updates from which the state can be rebuilt, or `None` until the state is complete. Remaining
     /// warm-up times and elapsed times are adjusted to `now`.
     pub(super) fn snapshot(&self, now: Time) -> Option<Vec<Update>> {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod link;
 mod mirror;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use compio::runtime::{JoinHandle, spawn};
@@ -168,6 +169,12 @@
             }
             // Each node reads its settings and the first list of nodes itself.
             Update::Settings(_) | Update::Peers(_) => self.apply_update(update),
+            // The configuration tells the followers, in a form that earlier programs read.
+            Update::StoreRestored(era) => {
+                if let Some(config) = self.mirror.restored_config(era) {
+                    self.apply_update(Update::Config(Rc::new(config)));
+                }
+            }
             // Ignores what was read before this node began to follow another one.
             _ if self.selector.is_following() => {}
             update => self.apply_update(update),
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -9,7 +9,10 @@
 use std::thread;
 use std::time::Duration;
 
-use common::{Gateway, config_of_version, field, free_addr, read_head, vm_name, wait_until};
+use common::{
+    Gateway, config_of_version, exchange, field, free_addr, read_head, vm_name, wait_until,
+};
+use monsoondeal_core::Revision;
 use monsoondeal_edge::{Name, Peer};
 use monsoondeal_gateway::{ReaderMode, Update};
 use rstest::rstest;
@@ -303,3 +306,44 @@
     wait_until(|| reader.reader_mode() == Some(ReaderMode::On));
     assert!(!is_turned_away(&reader));
 }
+
+/// Returns a number in the state dump of a node.
+fn dumped(node: &Gateway, name: &str) -> Option<u64> {
+    let answer = exchange(
+        node.admin,
+        "GET /state HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n",
+    );
+    let (_, rest) = answer.split_once(&format!("\"{name}\":"))?;
+    let digits = rest.chars().take_while(char::is_ascii_digit);
+    digits.collect::<String>().parse().ok()
+}
+
+/// Returns the configuration as it was read in an era of the store.
+fn config_in_era(era: u64) -> Update {
+    let mut config = config_of_version(1, "/r/");
+    config.listed = Revision::new(era, 7);
+    Update::Config(Rc::new(config))
+}
+
+/// Guards against followers that take no notice of a return of the store (missed moves): they are told by the
+/// node that they follow, also if the store holds an older configuration or the same one.
+#[test]
+fn follower_learns_that_the_store_was_restored() {
+    let fleet = fleet();
+    let readers = [start_reader(&fleet, 0), start_reader(&fleet, 1)];
+    let follower = start(&fleet, 5);
+    for reader in &readers {
+        reader.send_updates(|| vec![config_in_era(4)]);
+    }
+    follower.wait_until_ready();
+    wait_until(|| dumped(&follower, "store_era") == Some(4));
+    for era in [5, 6] {
+        for reader in &readers {
+            reader.send_updates(move || vec![Update::StoreRestored(era), config_in_era(era)]);
+        }
+        let nodes = readers.iter().chain([&follower]);
+        for node in nodes {
+            wait_until(|| dumped(node, "store_era") == Some(era));
+        }
+    }
+}
