Version moves: write states again that the store has lost

A completed move was begun anew, without leafs of the old version, and taken back, when all processes were killed after a return of the store.

Cause: each node wrote the state of a move once, and nobody wrote it again.

Change: a node that sees that the restored store lacks the end of a move which it knows writes it again, under the identity that the order has now, after 0.5 s and its part of a spread, until a listing confirms it. Announcements likewise.

Why it works: all nodes that lived through the return keep to the end that they know, and the store knows it again before a process that starts can rule otherwise.

--- a/crates/edge/src/edge/updates.rs
+++ b/crates/edge/src/edge/updates.rs
@@ -2,10 +2,12 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use monsoondeal_core::{LeafId, Time};
 use monsoondeal_moves::{MoveLimits, PostingReply};
-use rand::RngExt;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 
 use super::{Edge, EdgeSettings};
 use crate::action::Action;
@@ -16,9 +18,14 @@
 use crate::segment::{Peer, segment_size, serving_nodes};
 use crate::version_moves::MoveOrder;
 
+/// Span over which the nodes spread their writes after the store was restored: its minimum, and the time per node.
+const MIN_REGISTER_SPREAD: Duration = Duration::from_millis(500);
+const REGISTER_SPREAD_PER_NODE: Duration = Duration::from_millis(5);
+
 impl Edge {
     /// Records the store's era. A later one than the known one means that the store was restored from a copy some seconds
-    /// old: what it lacks is not withdrawn, and what it shows may be outdated, until it has been written again.
+    /// old: what it lacks is not withdrawn, and what it shows may be outdated, until it has been written again. What this
+    /// system alone wrote is written again now.
     pub fn note_store_era(&mut self, era: u64, now: Time, out: &mut Vec<Action>) {
         if era <= self.era {
             return;
@@ -28,7 +35,10 @@
         if !is_restored {
             return;
         }
-        self.moves.store_restored(now);
+        let nodes = u32::try_from(self.nodes()).unwrap_or(u32::MAX);
+        let jitter = process_jitter(self.settings.seed, era);
+        self.moves
+            .store_restored(write_spread(nodes).mul_f64(jitter), now);
         self.drive_moves(now, out);
     }
 
@@ -246,3 +256,14 @@
         out.extend(reports.into_iter().map(Action::Report));
     }
 }
+
+/// Returns the span over which this many nodes spread writes that each of them makes once.
+fn write_spread(nodes: u32) -> Duration {
+    let spread = REGISTER_SPREAD_PER_NODE.saturating_mul(nodes);
+    spread.max(MIN_REGISTER_SPREAD)
+}
+
+/// Returns a number from 0 to 1 that differs between processes and eras.
+fn process_jitter(seed: u64, era: u64) -> f64 {
+    SmallRng::seed_from_u64(seed ^ era.rotate_left(32)).random()
+}
--- a/crates/edge/src/version_moves.rs
+++ b/crates/edge/src/version_moves.rs
@@ -27,6 +27,8 @@
 const ANNOUNCE_PART: f64 = 0.1;
 /// Time after a return of the store from an older copy until what was written since the copy has been written again.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
+/// Least time until a node writes a state again that a restored store lacks, in addition to its share of the spread.
+const REWRITE_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of earlier orders and identities per service that are remembered.
 const MAX_FORMER: usize = 8;
 
@@ -136,6 +138,13 @@
     cause: MoveCause,
     /// Latest state that this node asked to be recorded.
     requested: Option<MoveState>,
+    /// Set when the store was restored from an older copy: no state is written again before. `None` once the store is known
+    /// to hold the state.
+    rewrite_after: Option<Time>,
+    /// Whether the restored store is known to lack the end of the move.
+    is_end_lost: bool,
+    /// Part of this node in the spread of writes after a return of the store.
+    jitter: Duration,
     /// Number of calls at the latest report, and its time.
     reported: (u64, Time),
 }
@@ -159,7 +168,13 @@
 
     /// Returns when this node announces that the move runs if no other node has.
     fn announce_at(&self) -> Time {
-        self.seen_at + ANNOUNCE_DELAY.min(self.order.duration.mul_f64(ANNOUNCE_PART))
+        let delay = ANNOUNCE_DELAY.min(self.order.duration.mul_f64(ANNOUNCE_PART));
+        (self.seen_at + delay).max(self.rewrite_after.unwrap_or_default())
+    }
+
+    /// Returns when the end of the move is written again, if the store lacks it.
+    fn rewrite_at(&self) -> Option<Time> {
+        self.rewrite_after.filter(|_| self.is_end_lost)
     }
 
     fn is_for(&self, order: &MoveOrder) -> bool {
@@ -188,7 +203,9 @@
     }
 
     /// Takes over the identity that the order has in the restored store.
-    fn rename(&mut self, id: OrderId) {
+    fn rename(&mut self, id: OrderId, now: Time) {
+        self.rewrite_after
+            .get_or_insert(now + REWRITE_DELAY + self.jitter);
         self.former_ids.push(self.order.id);
         if self.former_ids.len() > MAX_FORMER {
             self.former_ids.remove(0);
@@ -200,6 +217,16 @@
         }
     }
 
+    /// Has the state of the move written again if the store lacks it, since the store was restored from an older copy.
+    fn store_restored(&mut self, jitter: Duration, now: Time) {
+        self.jitter = jitter;
+        self.rewrite_after = Some(now + REWRITE_DELAY + jitter);
+        self.is_end_lost = false;
+        if self.is_running() {
+            self.requested = None;
+        }
+    }
+
     fn count(&self) -> MoveCount {
         MoveCount {
             calls: self.ledger.calls,
@@ -216,6 +243,12 @@
             (held, listed) if held.is_final() && !listed.is_final() => held,
             (_, listed) => listed,
         };
+        if self.rewrite_after.is_some() {
+            self.is_end_lost = state.is_final() && order.state != state && !self.is_withdrawn;
+        }
+        if order.state == state && state != MoveState::Asked {
+            self.rewrite_after = None;
+        }
         // An earlier program, or the state from before a return of the store, names the order otherwise.
         let is_current = order.id.revision.number > 0 && self.order.id.is_same(order.id);
         let id = if is_current { order.id } else { self.order.id };
@@ -308,9 +341,12 @@
     }
 
     /// Records that the store was restored from an older copy: until it has settled, orders that it lacks are not taken to
-    /// be withdrawn.
-    pub(crate) fn store_restored(&mut self, now: Time) {
+    /// be withdrawn. After `jitter` the states of moves are written again.
+    pub(crate) fn store_restored(&mut self, jitter: Duration, now: Time) {
         self.settles_at = now + SETTLE_TIME;
+        for mv in self.moves.values_mut() {
+            mv.store_restored(jitter, now);
+        }
     }
 
     /// Returns whether an order is one that another has replaced, in the older copy from which the store was restored a
@@ -371,7 +407,7 @@
             }
             Some(mut held) if held.is_restored_by(&order, is_settled) => {
                 held.missing_since = None;
-                held.rename(order.id);
+                held.rename(order.id, now);
                 held.ledger.set_limits(limits);
                 held.update(order, now);
                 held
@@ -395,6 +431,9 @@
                     is_withdrawn: false,
                     cause: MoveCause::Ordered,
                     requested: None,
+                    rewrite_after: None,
+                    is_end_lost: false,
+                    jitter: Duration::ZERO,
                     reported: (0, now),
                     former_ids: SmallVec::new(),
                     order,
@@ -588,6 +627,10 @@
                 continue;
             };
             mv.requested = Some(next_state);
+            if mv.is_end_lost {
+                mv.is_end_lost = false;
+                mv.rewrite_after = Some(now + REWRITE_DELAY);
+            }
             decisions.push(MoveDecision {
                 service: mv.order.service.clone(),
                 id: mv.order.id,
@@ -626,13 +669,17 @@
             let announce = (!is_announced).then(|| mv.announce_at());
             [mv.ledger.next_post_at(), announce]
         });
+        let rewrites = self.moves.values().filter_map(Move::rewrite_at);
         let fetch = self.versions.next_fetch().map(|at| at.max(self.settles_at));
-        wakes.flatten().chain(fetch).min()
+        wakes.flatten().chain(rewrites).chain(fetch).min()
     }
 }
 
 /// Returns the state that is to be recorded next, if any.
 fn due_state(mv: &Move, now: Time) -> Option<MoveState> {
+    if let Some(at) = mv.rewrite_at() {
+        return (now >= at).then_some(mv.order.state);
+    }
     let state = match (mv.order.state, mv.cause) {
         (MoveState::Asked, _) => {
             // One announcement is enough. The process that began the ledger makes it, the others only if it
--- a/crates/edge/tests/restored_store.rs
+++ b/crates/edge/tests/restored_store.rs
@@ -73,6 +73,39 @@
         .collect()
 }
 
+/// Guards against the end of a move that is lost with its status (RECOVER): it is written again once, under the identity
+/// that the order has now, and only if the store lacks it.
+#[rstest]
+#[case::lost(id_in(2, 3, 4), MoveState::Asked, true)]
+#[case::lost_after_the_announcement(id_in(1, 7, 20), MoveState::Running, true)]
+#[case::kept(id_in(1, 7, 20), MoveState::Completed, false)]
+fn end_is_written_again(
+    #[case] id: OrderId,
+    #[case] listed: MoveState,
+    #[case] is_rewritten: bool,
+    #[values(1, 2)] returns: u64,
+) {
+    let mut node = node(MoveState::Completed);
+    for era in 2..2 + returns {
+        enter_era(&mut node, era);
+        node.run_for(Duration::from_millis(300));
+    }
+    assert!(node.decisions.is_empty(), "not known to be lost yet");
+    set_moves(&mut node, vec![order(id, "v2", listed)]);
+    assert!(node.decisions.is_empty(), "not all nodes at once");
+    node.run_for(Duration::from_secs(1));
+    if is_rewritten {
+        let written = [(id.revision.era, "v2", MoveState::Completed)];
+        assert_eq!(decisions(&node), written);
+        set_moves(&mut node, vec![order(id, "v2", MoveState::Completed)]);
+    }
+    let count = usize::from(is_rewritten);
+    node.run_for(Duration::from_secs(20));
+    assert_eq!(node.decisions.len(), count);
+    node.request("r");
+    assert_eq!(&*node.calls[0].instance, "v2-1");
+}
+
 /// Guards against an earlier order that is begun anew since the copy still holds it (missed moves). One that stays is an
 /// order.
 #[test]
@@ -144,6 +177,31 @@
     assert_eq!(decisions(&node), [(2, "v3", MoveState::Running)]);
 }
 
+/// Guards against an order that is never begun since it equals one from before the return (missed moves): a version that was
+/// rolled back is ordered again, later. A service that has been moved already stays where it is.
+#[rstest]
+fn order_given_again_long_after_the_return(
+    #[values(MoveState::Completed, MoveState::RolledBack)] held: MoveState,
+    #[values(false, true)] is_order_lost: bool,
+) {
+    let mut node = node(held);
+    enter_era(&mut node, 2);
+    let copied = order(id_in(1, 7, 20), "v2", held);
+    set_moves(&mut node, if is_order_lost { vec![] } else { vec![copied] });
+    node.run_for(Duration::from_secs(6));
+    let again = order(id_in(2, 7, 30), "v2", MoveState::Asked);
+    set_moves(&mut node, vec![again]);
+    node.run_for(Duration::from_secs(2));
+    let expected = match held {
+        MoveState::RolledBack => MoveState::Running,
+        _ => MoveState::Completed,
+    };
+    assert_eq!(decisions(&node).last(), Some(&(2, "v2", expected)));
+    node.request("r");
+    let is_moved = &*node.calls[0].instance == "v2-1";
+    assert_eq!(is_moved, held == MoveState::Completed);
+}
+
 /// Guards against an order that is taken to be withdrawn since the copy lacks it. One that nobody writes again is.
 #[test]
 fn missing_order_is_withdrawn_only_once_the_store_has_settled() {
