Ledgers of moves: write postings again that the store has lost

Found while the kinds of state were gone through: a ledger that goes back some seconds grants its permits again, and lacks the calls that prove a good version, which was then taken back.

Change: each node keeps its recorded postings of the last minute and writes those again that the ledger lacks, with its next posting. Until all have, the totals known from before are a floor of what counts as granted. A ledger under a former identity of its order goes on.

--- a/crates/edge/src/ledger_client.rs
+++ b/crates/edge/src/ledger_client.rs
@@ -1,11 +1,14 @@
 //! A node's access to the ledger of a version move: its permits and its postings.
 
+use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 use monsoondeal_core::Time;
 use monsoondeal_moves::ledger::LOAD_INTERVAL;
 use monsoondeal_moves::{
-    LatencyHistogram, MoveLimits, OrderId, Posting, PostingReply, Ruling, Totals,
+    LatencyHistogram, MoveLimits, OrderId, Posting, PostingHistory, PostingReply, RecordedPosting,
+    Ruling, Totals,
 };
 
 use smallvec::SmallVec;
@@ -47,6 +50,9 @@
 /// Time between two reads of the ledger by a node that received the order late.
 const SYNC_PERIOD: Duration = Duration::from_secs(1);
 
+/// How long a node keeps what it has posted: longer than the age of a copy from which the store is restored.
+const HISTORY_TIME: Duration = Duration::from_secs(60);
+
 /// End of a call to a leaf, as the ledger counts it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallRecord {
@@ -117,6 +123,11 @@
     finish_spread: Duration,
     /// Totals of all nodes as of the latest posting.
     pub(crate) totals: Totals,
+    /// Postings that the ledger has recorded, oldest first, each with the time of the reply. A ledger that was restored from
+    /// an older copy may lack some.
+    recorded: VecDeque<(Time, Rc<RecordedPosting>)>,
+    /// Whether the store has been restored from an older copy since the latest reply of the ledger.
+    is_restored: bool,
 }
 
 impl LedgerClient {
@@ -165,6 +176,38 @@
             finish_after: limits.duration - limits.max_final_phase().mul_f64(IDLE_FINISH_PART),
             finish_spread: finish_spread.mul_f64(jitter),
             totals: Totals::default(),
+            recorded: VecDeque::new(),
+            is_restored: false,
+        }
+    }
+
+    /// Has the ledger written again at `at`, since the store was restored from an older copy.
+    pub(crate) fn store_restored(&mut self, at: Time) {
+        if !self.recorded.is_empty() {
+            self.is_restored = true;
+            self.pending_since = Some(self.pending_since.map_or(at, |since| since.min(at)));
+        }
+    }
+
+    /// Returns what the ledger must hold of this node.
+    pub(crate) fn history(&self) -> PostingHistory {
+        PostingHistory {
+            postings: self.recorded.iter().map(|(_, p)| p.clone()).collect(),
+            totals: self.totals.clone(),
+            is_restored: self.is_restored,
+        }
+    }
+
+    /// Remembers a posting that the ledger has recorded.
+    fn remember(&mut self, posting: &Posting, permits: u64, now: Time) {
+        let recorded = RecordedPosting {
+            posting: posting.clone(),
+            permits,
+        };
+        self.recorded.push_back((now, Rc::new(recorded)));
+        let is_over = |(at, _): &(Time, _)| now.since(*at) > HISTORY_TIME;
+        while self.recorded.front().is_some_and(is_over) {
+            self.recorded.pop_front();
         }
     }
 
@@ -411,7 +454,9 @@
         self.note_elapsed(reply.elapsed, now);
         self.totals = reply.totals.clone();
         let posting = self.unanswered.take().unwrap_or_default();
-        if !reply.is_recorded {
+        if reply.is_recorded {
+            self.remember(&posting, reply.permits, now);
+        } else {
             self.requeue(&posting);
         }
         if reply.ruling != Ruling::Running {
@@ -504,6 +549,8 @@
     pub version: Name,
     /// Limits of the move.
     pub limits: MoveLimits,
+    /// What the node has posted lately.
+    pub history: PostingHistory,
     /// Content of the posting.
     pub posting: Posting,
 }
--- a/crates/edge/src/version_moves.rs
+++ b/crates/edge/src/version_moves.rs
@@ -217,7 +217,8 @@
         }
     }
 
-    /// Has the state of the move written again if the store lacks it, since the store was restored from an older copy.
+    /// Has the state of the move written again if the store lacks it, and the postings, since the store was restored from
+    /// an older copy.
     fn store_restored(&mut self, jitter: Duration, now: Time) {
         self.jitter = jitter;
         self.rewrite_after = Some(now + REWRITE_DELAY + jitter);
@@ -225,6 +226,7 @@
         if self.is_running() {
             self.requested = None;
         }
+        self.ledger.store_restored(now + jitter);
     }
 
     fn count(&self) -> MoveCount {
@@ -341,7 +343,7 @@
     }
 
     /// Records that the store was restored from an older copy: until it has settled, orders that it lacks are not taken to
-    /// be withdrawn. After `jitter` the states of moves are written again.
+    /// be withdrawn. After `jitter` the ends of moves and the postings are written again.
     pub(crate) fn store_restored(&mut self, jitter: Duration, now: Time) {
         self.settles_at = now + SETTLE_TIME;
         for mv in self.moves.values_mut() {
@@ -562,6 +564,7 @@
                 former_ids: mv.former_ids.clone(),
                 version: mv.order.version.clone(),
                 limits: *mv.ledger.limits(),
+                history: mv.ledger.history(),
                 posting,
             })
         });
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -184,6 +184,7 @@
         version: post.version.to_string(),
     };
     let ledger = ledger.get_or_insert_with(|| Ledger::new(key));
+    ledger.restore(post.posting.process, &post.history);
     ledger.post(&post.posting, &post.limits)
 }
 
--- a/crates/edge/tests/restored_store.rs
+++ b/crates/edge/tests/restored_store.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Node, config, leaf, service_route, success};
+use common::{Node, config, failure, leaf, service_route, success};
 use monsoondeal_core::Revision;
 use monsoondeal_edge::{EdgeSettings, LeafEntry, MoveOrder, MoveState, Name, Repeat};
 use monsoondeal_moves::OrderId;
@@ -12,6 +12,8 @@
 
 /// Time from the order to its deadline.
 const MOVE_DURATION: Duration = Duration::from_secs(12);
+/// Time between two requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
 
 fn leaf_of(version: &str) -> LeafEntry {
     LeafEntry {
@@ -73,6 +75,95 @@
         .collect()
 }
 
+/// Calls of one test.
+#[derive(Debug, Default)]
+struct CallStats {
+    requests: usize,
+    /// Calls to `v2`.
+    new_calls: usize,
+    /// Calls that `v2` failed.
+    bad_answers: usize,
+}
+
+/// Sends requests for `span`, beginning with a ledger that the store has lost.
+fn send_requests(node: &mut Node, span: Duration, is_bad: bool, stats: &mut CallStats) {
+    let mut ledger = None;
+    let end = node.now + span;
+    while node.now < end {
+        node.request("r");
+        stats.requests += 1;
+        while let Some(call) = node.calls.first().cloned() {
+            let is_new = &*call.instance == "v2-1";
+            let fails = is_new && is_bad;
+            stats.new_calls += usize::from(is_new);
+            stats.bad_answers += usize::from(fails);
+            node.end_call(call.call, if fails { failure() } else { success("1") });
+        }
+        node.answer_posts(&mut ledger);
+        node.run_for(REQUEST_INTERVAL);
+        node.answer_posts(&mut ledger);
+    }
+}
+
+/// Guards against a move that is begun anew, or is never completed, since the store has lost its ledger: the postings are
+/// written again, and the time since the order goes on.
+#[rstest]
+fn move_goes_on_over_the_return(
+    #[values(2_000, 6_000, 9_000, 10_500)] at_millis: u64,
+    #[values(false, true)] is_order_lost: bool,
+) {
+    let mut node = node(MoveState::Running);
+    let mut stats = CallStats::default();
+    let before = Duration::from_millis(at_millis);
+    send_requests(&mut node, before, false, &mut stats);
+    enter_era(&mut node, 2);
+    let listed = match is_order_lost {
+        true => order(id_in(2, 3, 4), "v2", MoveState::Asked),
+        false => order(id_in(1, 7, 20), "v2", MoveState::Running),
+    };
+    set_moves(&mut node, vec![listed]);
+    send_requests(&mut node, MOVE_DURATION - before, false, &mut stats);
+    let ends: Vec<MoveState> = node.decisions.iter().map(|d| d.state).collect();
+    assert_eq!(
+        ends.last(),
+        Some(&MoveState::Completed),
+        "{ends:?} {stats:?}"
+    );
+    let end = node.decisions.last().expect("an end");
+    assert_eq!(
+        end.id,
+        if is_order_lost {
+            id_in(2, 3, 4)
+        } else {
+            id_in(1, 7, 20)
+        }
+    );
+    assert!(end.count.calls as usize >= stats.requests / 2, "{stats:?}");
+}
+
+/// Guards against a bad version that gets its exposure once more since the ledger that counts it was lost (EXPOSURE).
+#[rstest]
+fn bad_version_stays_within_its_exposure_over_the_return(
+    #[values(2_000, 6_000, 9_000, 10_500)] at_millis: u64,
+    #[values(false, true)] was_bad: bool,
+) {
+    let mut node = node(MoveState::Running);
+    let mut stats = CallStats::default();
+    let before = Duration::from_millis(at_millis);
+    send_requests(&mut node, before, was_bad, &mut stats);
+    enter_era(&mut node, 2);
+    set_moves(
+        &mut node,
+        vec![order(id_in(2, 3, 4), "v2", MoveState::Asked)],
+    );
+    send_requests(&mut node, MOVE_DURATION - before, true, &mut stats);
+    let allowed = 0.1 * stats.requests as f64 + 50.0;
+    assert!((stats.new_calls as f64) <= allowed, "{stats:?}");
+    assert!(stats.bad_answers <= 50, "{stats:?}");
+    let states: Vec<MoveState> = node.decisions.iter().map(|d| d.state).collect();
+    assert_eq!(states.last(), Some(&MoveState::RolledBack), "{stats:?}");
+}
+
 /// Guards against the end of a move that is lost with its status (RECOVER): it is written again once, under the identity
 /// that the order has now, and only if the store lacks it.
 #[rstest]
--- a/crates/moves/src/ledger.rs
+++ b/crates/moves/src/ledger.rs
@@ -19,6 +19,8 @@
 //! - `elapsed` never exceeds the time since the order, since each node counts from when it first saw the
 //!   order, on a monotonic clock. So no move is completed earlier than its exposure bound allows.
 
+mod restore;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -28,6 +30,8 @@
 use crate::histogram::LatencyHistogram;
 use crate::order::OrderId;
 use crate::verdict::{Detector, Fault, Verdict, VerdictSettings};
+use restore::Floor;
+pub use restore::{PostingHistory, RecordedPosting};
 
 /// Fraction of the allowed calls that may be granted in the canary phase.
 const CANARY_FRACTION: f64 = 0.2;
@@ -258,6 +262,9 @@
     returned: u64,
     settled: u64,
     bad: u64,
+    /// What was counted before the store was restored from an older copy.
+    #[serde(default)]
+    floor: Floor,
     evidence: Evidence,
     /// Detects a fault on a single route.
     detector: Detector,
@@ -321,6 +328,7 @@
             returned: 0,
             settled: 0,
             bad: 0,
+            floor: Floor::default(),
             evidence: Evidence::default(),
             detector: Detector::new(VerdictSettings::default()),
             joint: Detector::new(VerdictSettings::default()),
@@ -529,10 +537,12 @@
         };
         let max_permits = (fraction * limits.max_exposure(self.calls as f64)) as u64;
         let net_permits = self.granted - self.returned.min(self.granted);
-        let unsettled = net_permits.saturating_sub(self.settled);
+        let net_permits = net_permits.max(self.floor.net_permits);
+        let unsettled = net_permits.saturating_sub(self.settled.max(self.floor.settled));
+        let bad = self.bad.max(self.floor.bad);
         let permits = wanted_permits
             .min(max_permits.saturating_sub(net_permits))
-            .min(BAD_LIMIT.saturating_sub(self.bad + unsettled));
+            .min(BAD_LIMIT.saturating_sub(bad + unsettled));
         self.granted += permits;
         permits
     }
--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -24,7 +24,8 @@
 pub use evidence::{Evidence, Outcome, RequestCounts, RouteEvidence};
 pub use histogram::LatencyHistogram;
 pub use ledger::{
-    Ledger, MoveLimits, OrderKey, Posting, PostingReply, RouteSamples, Ruling, Totals,
+    Ledger, MoveLimits, OrderKey, Posting, PostingHistory, PostingReply, RecordedPosting,
+    RouteSamples, Ruling, Totals,
 };
 pub use order::OrderId;
 pub use plan::{Plan, Step};
--- a/crates/moves/tests/ledger.rs
+++ b/crates/moves/tests/ledger.rs
@@ -1,13 +1,14 @@
 //! The ledger of a move: its bounds hold whatever is posted, and each posting is applied once.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use monsoondeal_core::Revision;
 use monsoondeal_moves::ledger::BAD_LIMIT;
 use monsoondeal_moves::{
-    LatencyHistogram, Ledger, MoveLimits, OrderId, OrderKey, Posting, PostingReply, RouteSamples,
-    Ruling,
+    LatencyHistogram, Ledger, MoveLimits, OrderId, OrderKey, Posting, PostingHistory, PostingReply,
+    RecordedPosting, RouteSamples, Ruling,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -191,6 +192,7 @@
     sequence: u64,
     permits: u64,
     latest: Option<Posting>,
+    history: PostingHistory,
 }
 
 /// Calls that leafs have received, and bad answers.
@@ -209,8 +211,16 @@
             sequence: self.sequence,
             ..posting
         };
+        ledger.restore(self.name, &self.history);
         let reply = ledger.post(&posting, &limits());
+        self.history.is_restored = false;
+        self.history.totals = reply.totals.clone();
         if reply.is_recorded {
+            let recorded = RecordedPosting {
+                posting: posting.clone(),
+                permits: reply.permits,
+            };
+            self.history.postings.push(Rc::new(recorded));
             self.latest = Some(posting);
         } else {
             self.sequence -= 1;
@@ -281,3 +291,138 @@
         }
     }
 }
+
+/// Returns a posting of a process that has called the service and asks for permits.
+fn asking(process: u64, sequence: u64, calls: u64) -> Posting {
+    Posting {
+        process,
+        sequence,
+        elapsed: Duration::from_millis(500 * sequence),
+        calls,
+        wanted_permits: 3,
+        samples: samples(calls, 0, 0, 1),
+        ..Posting::default()
+    }
+}
+
+/// Posts in turn for two processes, and returns the ledger with what both know of it.
+fn posted_by_two() -> (Ledger, [Process; 2]) {
+    let mut ledger = ledger();
+    let mut processes = [1, 2].map(|name| Process {
+        name,
+        ..Process::default()
+    });
+    for _ in 0..2 {
+        for process in &mut processes {
+            let posting = asking(process.name, process.sequence + 1, 20);
+            assert!(process.post(&mut ledger, posting).is_recorded);
+        }
+    }
+    (ledger, processes)
+}
+
+/// Guards against permits and calls that are forgotten when the store is restored from an older copy (EXPOSURE): the
+/// processes rebuild the ledger together, in any order, and once.
+#[rstest]
+#[case::in_turn([0, 1])]
+#[case::other_way_round([1, 0])]
+fn ledger_is_restored_by_its_processes(#[case] order: [usize; 2]) {
+    let (lost, processes) = posted_by_two();
+    let mut restored = ledger();
+    for at in order {
+        let process = &processes[at];
+        assert_eq!(restored.restore(process.name, &process.history), 2);
+        assert_eq!(restored.restore(process.name, &process.history), 0);
+    }
+    let read = |ledger: &mut Ledger| ledger.post(&Posting::default(), &limits()).totals;
+    let mut lost = lost;
+    assert_eq!(read(&mut restored), read(&mut lost));
+}
+
+/// Guards against permits that are granted twice before the others have restored their part: what one process knows of
+/// all limits what it gets.
+#[rstest]
+#[case::known_to_be_restored(true)]
+#[case::not_restored(false)]
+fn ledger_counts_permits_that_were_granted_before_the_return(#[case] is_restored: bool) {
+    let (_, mut processes) = posted_by_two();
+    let known = processes[1].history.totals.net_permits;
+    assert_eq!(known, 11, "all that the canary phase allows for");
+    processes[1].history.is_restored = is_restored;
+    let mut restored = ledger();
+    let posting = asking(2, 3, 0);
+    let reply = processes[1].post(&mut restored, posting);
+    assert_eq!(reply.permits, if is_restored { 0 } else { 3 });
+}
+
+/// A ledger that has ruled is not changed any more.
+#[test]
+fn ledger_that_has_ruled_is_not_restored() {
+    let (_, processes) = posted_by_two();
+    let mut ruled = ledger();
+    let late = Posting {
+        process: 3,
+        sequence: 1,
+        elapsed: DURATION,
+        ..Posting::default()
+    };
+    assert_eq!(ruled.post(&late, &limits()).ruling, Ruling::TooLate);
+    assert_eq!(ruled.restore(1, &processes[0].history), 0);
+}
+
+proptest! {
+    /// A bad version stays within its exposure, however old the copies are from which the store is restored, and however
+    /// few postings lie between two returns, and gets no fiftieth bad answer since the latest return. All processes live on.
+    #[test]
+    fn restored_ledger_bounds_calls_and_bad_answers(
+        actions in prop::collection::vec((action(), 0..400_u64, 0..12_usize), 0..200),
+    ) {
+        let mut ledger = ledger();
+        let mut copies = vec![ledger.clone()];
+        let mut elapsed = Duration::ZERO;
+        let mut processes: Vec<Process> = (0..9)
+            .map(|name| Process { name, ..Process::default() })
+            .collect();
+        let mut received = Received::default();
+        for (action, millis, age) in actions {
+            elapsed += Duration::from_millis(millis);
+            match action {
+                Action::Call(index, calls, wanted) => {
+                    received.calls += calls;
+                    let posting = Posting {
+                        elapsed, calls, wanted_permits: wanted, samples: samples(calls, 0, 0, 1), ..Posting::default()
+                    };
+                    let process = &mut processes[index as usize];
+                    process.permits += process.post(&mut ledger, posting).permits;
+                }
+                Action::Use(index, failing) => {
+                    let process = &mut processes[index as usize];
+                    let used = std::mem::take(&mut process.permits);
+                    let failed = used * failing / 2;
+                    received.calls += used;
+                    received.to_new += used;
+                    received.bad += failed;
+                    let posting = Posting {
+                        elapsed, calls: used, settled: used,
+                        samples: samples(0, used, failed, 1), ..Posting::default()
+                    };
+                    process.post(&mut ledger, posting);
+                }
+                Action::Restart(_) => {
+                    // The store is restored from a copy that lacks the last `age` postings.
+                    copies.truncate(copies.len().saturating_sub(age).max(1));
+                    ledger = reread(copies.last().expect("a copy"));
+                    for process in &mut processes {
+                        process.history.is_restored = true;
+                    }
+                    received.bad = 0;
+                }
+                Action::Resend(_) => {}
+            }
+            copies.push(reread(&ledger));
+            let allowed = 0.1 * received.calls as f64 + 50.0;
+            prop_assert!(received.to_new as f64 <= allowed, "{} of {}", received.to_new, received.calls);
+            prop_assert!(received.bad <= 50, "{} bad", received.bad);
+        }
+    }
+}
