Nodes: register again after a return of the store, and count lost entries

Cause: a node wrote its entry once, at its start, and each list of nodes replaced the one before.

Entries are never removed, so nodes that a later list lacks still count.

--- a/crates/edge/src/action.rs
+++ b/crates/edge/src/action.rs
@@ -302,4 +302,11 @@
     FetchOrders,
     /// Log the progress of a version move.
     Report(MoveReport),
+    /// Register the node again, since the store was restored from an older copy, which may lack its entry.
+    Register {
+        /// The store's era.
+        era: u64,
+        /// Time over which the nodes spread their writes.
+        spread: Duration,
+    },
 }
--- a/crates/edge/src/edge/updates.rs
+++ b/crates/edge/src/edge/updates.rs
@@ -36,9 +36,10 @@
             return;
         }
         let nodes = u32::try_from(self.nodes()).unwrap_or(u32::MAX);
-        let jitter = process_jitter(self.settings.seed, era);
+        let (seed, spread) = (self.settings.seed, write_spread(nodes));
         self.moves
-            .store_restored(write_spread(nodes).mul_f64(jitter), now);
+            .store_restored(spread.mul_f64(process_jitter(seed, era)), now);
+        out.push(Action::Register { era, spread });
         self.drive_moves(now, out);
     }
 
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -216,6 +216,8 @@
     pub posts: Vec<MovePost>,
     /// When the node last asked the store for the orders of version moves, until the test takes the value.
     pub fetch_time: Option<Time>,
+    /// Eras of the store for which the node asked to be registered again.
+    pub registrations: Vec<u64>,
     /// Routes of the requests sent, indexed by token.
     routes: Vec<String>,
 }
@@ -248,6 +250,7 @@
             reports: Vec::new(),
             posts: Vec::new(),
             fetch_time: None,
+            registrations: Vec::new(),
             routes: Vec::new(),
         };
         assert!(node.edge.set_config(config));
@@ -286,6 +289,7 @@
                 Action::Report(report) => self.reports.push(report),
                 Action::Post(post) => self.posts.push(post),
                 Action::FetchOrders => self.fetch_time = Some(self.now),
+                Action::Register { era, .. } => self.registrations.push(era),
             }
         }
     }
--- a/crates/edge/tests/restored_store.rs
+++ b/crates/edge/tests/restored_store.rs
@@ -349,3 +349,13 @@
     node.run_for(Duration::from_secs(2));
     assert_eq!(node.decisions.len(), count);
 }
+
+/// Guards against nodes that no other counts any more (FAILBACK): each registers again at each return, and only then.
+#[test]
+fn node_registers_again_at_each_return() {
+    let mut node = node(MoveState::Completed);
+    for era in [1, 2, 2, 1, 4] {
+        enter_era(&mut node, era);
+    }
+    assert_eq!(node.registrations, [2, 4]);
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_channel::{mpsc, oneshot};
@@ -66,7 +67,7 @@
 /// Sender of reader modes to the store reader.
 pub type ReaderModeSender = mpsc::UnboundedSender<ReaderMode>;
 
-/// `StoreCommand` is a read or write of version moves in the store.
+/// `StoreCommand` is a read or write of version moves, or of the node's entry, in the store.
 #[derive(Debug)]
 pub enum StoreCommand {
     /// Records a change of a move's state. It is retried for as long as the store is unreachable.
@@ -76,9 +77,12 @@
     Post(Box<MovePost>, oneshot::Sender<PostingReply>),
     /// Reads the current orders from the store. The sender is dropped if they cannot be read.
     FetchOrders(oneshot::Sender<Vec<MoveOrder>>),
+    /// Writes the entry of this node again unless there is one, after a random part of the given time. It is retried for
+    /// as long as the store is unreachable.
+    Register(Duration),
 }
 
-/// Sender of commands about version moves.
+/// Sender of commands about the store.
 pub type StoreCommandSender = mpsc::UnboundedSender<StoreCommand>;
 
 /// Sender of updates.
@@ -96,7 +100,7 @@
     pub(crate) headers: HeaderMap,
     /// Host that the caller named.
     pub(crate) host: String,
-    pub(crate) timeout: Option<std::time::Duration>,
+    pub(crate) timeout: Option<Duration>,
     pub(crate) body: Bytes,
     pub(crate) purpose: Purpose,
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -53,7 +53,7 @@
 
 /// Runs a gateway until `stop` signals a planned stop. `updates` are those read from the store,
 /// `reader_modes` turns the reader of the store on and off, and `store_commands` reads and writes version
-/// moves.
+/// moves, and the node's entry.
 ///
 /// # Errors
 ///
@@ -487,6 +487,10 @@
             Action::Post(post) => self.post(post),
             Action::FetchOrders => self.fetch_orders(),
             Action::Report(report) => logs::move_counted(&report),
+            Action::Register { era, spread } => {
+                log::info!(era, spread_ms = spread.as_millis() as u64; "registering again: the store was restored");
+                self.send_store_command(StoreCommand::Register(spread));
+            }
             Action::LogNotice(taken) => self.request_log.notice(&taken),
             Action::LogProbe(leaf) => self.request_log.probe(&leaf),
             Action::Log(token, event) => {
--- a/crates/gateway/src/relay/mirror.rs
+++ b/crates/gateway/src/relay/mirror.rs
@@ -68,6 +68,15 @@
         }
     }
 
+    /// Adds the nodes known before to a list of nodes. Entries of nodes are never removed, so a list that lacks some is of a
+    /// store that has lost them, and they still share the leafs.
+    pub(super) fn add_known_peers(&self, listed: &mut Vec<Peer>) {
+        let known = self.peers.iter().flatten();
+        let lost = known.filter(|peer| !listed.iter().any(|other| other.name == peer.name));
+        let lost: Vec<Peer> = lost.cloned().collect();
+        listed.extend(lost);
+    }
+
     /// Returns the configuration as of a return of the store to this era; `None` if the configuration is not known, or is
     /// of that era or a later one.
     pub(super) fn restored_config(&self, era: u64) -> Option<Config> {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -182,8 +182,11 @@
     }
 
     /// Applies an update and forwards it to the hub and the followers.
-    fn apply_update(&mut self, update: Update) {
+    fn apply_update(&mut self, mut update: Update) {
         let now = self.clock.now();
+        if let Update::Peers(peers) = &mut update {
+            self.mirror.add_known_peers(peers);
+        }
         self.mirror.apply(&update, now);
         if let Update::Peers(peers) = &update {
             let role = store_role(&self.vm, peers.iter().map(fleet_node));
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -18,7 +18,7 @@
     Config, EdgeSettings, LeafEntry, Limits, Name, Repeat, Route, Service, Target,
 };
 use monsoondeal_gateway::{
-    GatewaySettings, HeaderNames, ReaderMode, SourceTiming, StopSettings, Update,
+    GatewaySettings, HeaderNames, ReaderMode, SourceTiming, StopSettings, StoreCommand, Update,
 };
 use socket2::SockRef;
 pub use standin::endless::read_head;
@@ -132,6 +132,8 @@
     pub updates: SocketAddr,
     /// Reader modes that the gateway has set, oldest first.
     reader_modes: Arc<Mutex<Vec<ReaderMode>>>,
+    /// Number of times that the gateway has asked to be registered again.
+    registrations: Arc<AtomicUsize>,
     /// Sender of updates that the gateway gets as if they were read from the store.
     update_factories: mpsc::Sender<UpdateFactory>,
 }
@@ -182,10 +184,12 @@
         let (update_factories, factories) = mpsc::channel::<UpdateFactory>();
         let reader_modes: Arc<Mutex<Vec<ReaderMode>>> = Arc::default();
         let recorded = reader_modes.clone();
+        let registrations: Arc<AtomicUsize> = Arc::default();
+        let registered = registrations.clone();
         thread::spawn(move || {
             let (updates, inbox) = unbounded();
             let (_never, stop) = unbounded();
-            let (moves, _commands) = unbounded();
+            let (store_commands, mut commands) = unbounded();
             let (mode_sender, mut mode_inbox) = unbounded();
             for update in prepare() {
                 updates.unbounded_send(update).expect("an open inbox");
@@ -201,6 +205,10 @@
                             updates.unbounded_send(answer).expect("an open inbox");
                         }
                     }
+                    while let Ok(command) = commands.try_recv() {
+                        let is_registration = matches!(command, StoreCommand::Register(_));
+                        registered.fetch_add(usize::from(is_registration), Ordering::SeqCst);
+                    }
                     for update in factories.try_iter().flat_map(|factory| factory()) {
                         updates.unbounded_send(update).expect("an open inbox");
                     }
@@ -209,7 +217,7 @@
             };
             runtime.block_on(async move {
                 compio::runtime::spawn(feed).detach();
-                monsoondeal_gateway::run(settings, inbox, mode_sender, moves, stop)
+                monsoondeal_gateway::run(settings, inbox, mode_sender, store_commands, stop)
                     .await
                     .expect("the gateway starts");
             });
@@ -221,6 +229,7 @@
             peers,
             updates: follow_addr,
             reader_modes,
+            registrations,
             update_factories,
         };
         gateway.wait_until_listening();
@@ -250,6 +259,11 @@
             .clone()
     }
 
+    /// Returns how often the gateway has asked to be registered again.
+    pub fn registrations(&self) -> usize {
+        self.registrations.load(Ordering::SeqCst)
+    }
+
     /// Starts a gateway with one route, `/r/`, to a service with these leafs.
     pub fn with_leafs(repeat: Repeat, leafs: &[&Leaf]) -> Self {
         Self::with_addrs(repeat, leafs.iter().map(|leaf| leaf.addr).collect())
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -325,8 +325,8 @@
     Update::Config(Rc::new(config))
 }
 
-/// Guards against followers that take no notice of a return of the store (missed moves): they are told by the
-/// node that they follow, also if the store holds an older configuration or the same one.
+/// Guards against followers that take no notice of a return of the store (FAILBACK, missed moves): they are told by the
+/// node that they follow, also if the store holds an older configuration or the same one, and once by each return.
 #[test]
 fn follower_learns_that_the_store_was_restored() {
     let fleet = fleet();
@@ -337,13 +337,66 @@
     }
     follower.wait_until_ready();
     wait_until(|| dumped(&follower, "store_era") == Some(4));
-    for era in [5, 6] {
+    assert_eq!(follower.registrations(), 0);
+    for (era, count) in [(5, 1), (6, 2)] {
         for reader in &readers {
             reader.send_updates(move || vec![Update::StoreRestored(era), config_in_era(era)]);
         }
         let nodes = readers.iter().chain([&follower]);
         for node in nodes {
-            wait_until(|| dumped(node, "store_era") == Some(era));
+            wait_until(|| node.registrations() == count);
+            assert_eq!(dumped(node, "store_era"), Some(era));
         }
     }
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(follower.registrations(), 2);
+}
+
+/// A node that follows another one, and finds the store restored before that one does, registers again as well.
+#[test]
+fn follower_that_finds_the_store_restored_registers_again() {
+    let fleet = fleet();
+    let readers = [start_reader(&fleet, 0), start_reader(&fleet, 1)];
+    for reader in &readers {
+        reader.send_updates(|| vec![config_in_era(4)]);
+    }
+    let follower = start(&fleet, 5);
+    follower.wait_until_ready();
+    wait_until(|| dumped(&follower, "store_era") == Some(4));
+    follower.send_updates(|| vec![Update::StoreRestored(5)]);
+    wait_until(|| follower.registrations() == 1);
+    assert!(readers.iter().all(|reader| reader.registrations() == 0));
+    // What its source says later of the era before changes nothing.
+    readers[0].send_updates(|| vec![config_in_era(4)]);
+    readers[1].send_updates(|| vec![config_in_era(4)]);
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(dumped(&follower, "store_era"), Some(5));
+}
+
+/// Guards against nodes that take the share of others whose entries the store has lost (FAILBACK): they count all nodes
+/// that were ever listed, whether they read the store or follow another node.
+#[test]
+fn nodes_whose_entries_were_lost_are_counted() {
+    let fleet = fleet();
+    let readers = [start_reader(&fleet, 0), start_reader(&fleet, 1)];
+    let follower = start(&fleet, 5);
+    follower.wait_until_ready();
+    let nodes = || readers.iter().chain([&follower]);
+    for reader in &readers {
+        let rest = fleet[..2].to_vec();
+        reader.send_updates(move || vec![Update::Peers(peers(&rest))]);
+    }
+    thread::sleep(Duration::from_millis(300));
+    for node in nodes() {
+        assert_eq!(dumped(node, "nodes"), Some(NODES as u64));
+    }
+    // A node that is new is counted, too.
+    let more: Vec<SocketAddr> = (0..2).map(|_| free_addr()).collect();
+    for reader in &readers {
+        let more = more.clone();
+        reader.send_updates(move || vec![Update::Peers(peers(&more))]);
+    }
+    for node in nodes() {
+        wait_until(|| dumped(node, "nodes") == Some(NODES as u64 + 2));
+    }
 }
