Leafs and closed domains: what a copy shows isn't news

Found while the kinds of state were gone through: until operators and leafs have written them again, a restored store shows a closed domain as open, a draining leaf as ready, and a leaf that has left as there, and lacks leafs that live.

Change: for 5 s after a return closed domains stay closed, leafs that drain go on draining, and leafs that were retired lately aren't called unless they write their entry again; missing leafs are held as after an outage.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,6 +1,6 @@
 //! Known leafs, and which of them may get new work.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +23,13 @@
 /// Minimum number of entries that must vanish together for this suspicion.
 const MASS_VANISH_MIN: usize = 4;
 
+/// Time after a return of the store from an older copy until what was written since the copy has been written again.
+pub(crate) const SETTLE_TIME: Duration = Duration::from_secs(5);
+/// Number of retired leafs that are remembered.
+const MAX_RETIRED: usize = 4_096;
+/// How long a retired leaf is remembered: longer than the age of a copy from which the store is restored.
+const RETIRED_TIME: Duration = Duration::from_secs(60);
+
 /// How long a leaf is not called after another one was found at its address.
 const DISPLACED_HOLD: Duration = Duration::from_secs(5);
 
@@ -58,6 +65,9 @@
     /// When the leaf is dropped unless its entry returns; set if the entry vanished while the registry may
     /// have lost entries.
     pub(crate) drop_at: Option<Time>,
+    /// Whether the leaf had been retired and its entry came back with an older copy of the store: it is not called before
+    /// it has written its entry again, or the store has settled.
+    is_outdated: bool,
     /// When the latest call that the leaf answered was sent: the leaf was alive then. `None` if it may have
     /// ended since.
     alive_at: Option<Time>,
@@ -74,6 +84,14 @@
     Held(LeafId),
 }
 
+/// A leaf that was retired.
+#[derive(Debug)]
+struct Retired {
+    name: Name,
+    born: u64,
+    at: Time,
+}
+
 /// `Directory` holds the leafs of all services, and the nodes that serve segments as leafs of the segments.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -81,6 +99,13 @@
     names: HashMap<Name, LeafId>,
     services: HashMap<Name, SmallVec<[LeafId; 4]>>,
     closed_domains: HashSet<Name>,
+    /// Domains that were closed when the store was restored, and that it does not list. They stay closed until it has
+    /// settled.
+    held_domains: HashSet<Name>,
+    /// When the store has settled after it was restored from an older copy.
+    settles_at: Time,
+    /// Leafs that were retired lately, oldest first.
+    retired: VecDeque<Retired>,
     /// Leafs at whose addresses other leafs were found, with the time until which they are not called.
     displaced: DeterministicMap<LeafId, Time>,
     /// What leafs said about themselves. Outlives their entries.
@@ -108,10 +133,15 @@
             if is_same {
                 leaf.cold_until = now + entry.warmup;
                 leaf.drop_at = None;
+                leaf.is_outdated = false;
+                // A leaf that drains does not return to work: an entry that says so is older.
+                let draining = leaf.entry.draining && now < self.settles_at;
                 leaf.entry = entry;
+                leaf.entry.draining |= draining;
                 return None;
             }
         }
+        let is_outdated = now < self.settles_at && self.was_retired(&entry);
         let replaced = known.inspect(|&id| self.forget(id));
         self.notices.listed(&entry.name);
         let id = LeafId(self.next_id);
@@ -125,6 +155,7 @@
             cold_until: now + entry.warmup,
             drop_at: None,
             alive_at: None,
+            is_outdated,
             entry,
         };
         self.leafs.insert(id, leaf);
@@ -182,9 +213,28 @@
         self.hold_until = self.hold_until.max(now + VANISHED_HOLD);
     }
 
-    /// Closes these failure domains and opens all others.
-    pub fn close_domains(&mut self, domains: HashSet<Name>) {
-        self.closed_domains = domains;
+    /// Closes these failure domains and opens all others. Those that were closed when the store was restored stay closed
+    /// until it has settled.
+    pub fn close_domains(&mut self, domains: HashSet<Name>, now: Time) {
+        let closed = std::mem::replace(&mut self.closed_domains, domains);
+        if now < self.settles_at {
+            self.held_domains.extend(closed);
+        }
+        let listed = &self.closed_domains;
+        self.held_domains.retain(|domain| !listed.contains(domain));
+    }
+
+    /// Records that the store was restored from an older copy. Until it has settled, what it lacks is taken to be still
+    /// there, and what it shows may be outdated.
+    pub fn store_restored(&mut self, now: Time) {
+        self.settles_at = now + SETTLE_TIME;
+        self.hold_vanished(now);
+    }
+
+    /// Returns whether the incarnation of an entry was retired lately.
+    fn was_retired(&self, entry: &LeafEntry) -> bool {
+        let is_entry = |retired: &Retired| retired.name == entry.name && retired.born == entry.born;
+        self.retired.iter().any(is_entry)
     }
 
     /// Records that a leaf answered a call that was sent at `sent_at`.
@@ -270,6 +320,7 @@
     /// again after their hold.
     pub fn expire(&mut self, now: Time) -> Vec<LeafId> {
         self.displaced.retain(|_, until| *until > now);
+        self.settle(now);
         let due = |leaf: &Leaf| leaf.drop_at.is_some_and(|at| at <= now);
         let gone: Vec<LeafId> = self
             .leafs
@@ -283,10 +334,24 @@
         gone
     }
 
+    /// Ends what holds only until the store has settled, if it has.
+    fn settle(&mut self, now: Time) {
+        if now < self.settles_at || self.settles_at == Time::default() {
+            return;
+        }
+        self.settles_at = Time::default();
+        self.held_domains.clear();
+        for leaf in self.leafs.values_mut() {
+            leaf.is_outdated = false;
+        }
+    }
+
     /// Returns when [`Directory::expire`] has something to do.
     pub fn next_expiry(&self) -> Option<Time> {
         let drops = self.leafs.values().filter_map(|leaf| leaf.drop_at);
-        drops.chain(self.displaced.values().copied()).min()
+        let settles = (self.settles_at > Time::default()).then_some(self.settles_at);
+        let displaced = self.displaced.values().copied();
+        drops.chain(displaced).chain(settles).min()
     }
 
     /// Removes the nodes that serve segments, and returns them.
@@ -319,6 +384,8 @@
     pub fn is_usable(&self, id: LeafId) -> bool {
         self.leafs.get(&id).is_some_and(|leaf| {
             !leaf.entry.draining
+                && !leaf.is_outdated
+                && !self.held_domains.contains(&leaf.entry.domain)
                 && !self.notices.is_leaving(&leaf.entry.name, leaf.entry.born)
                 && !self.displaced.contains_key(&id)
                 && !self.closed_domains.contains(&leaf.entry.domain)
@@ -351,10 +418,25 @@
     fn retire(&mut self, id: LeafId, now: Time) {
         if let Some(entry) = self.leafs.get(&id).map(|leaf| &leaf.entry) {
             self.notices.vanished(&entry.name, now);
+            let (name, born) = (entry.name.clone(), entry.born);
+            self.remember_retired(Retired {
+                name,
+                born,
+                at: now,
+            });
         }
         self.forget(id);
     }
 
+    fn remember_retired(&mut self, leaf: Retired) {
+        let now = leaf.at;
+        self.retired.push_back(leaf);
+        let is_over = |oldest: &Retired| now.since(oldest.at) > RETIRED_TIME;
+        while self.retired.len() > MAX_RETIRED || self.retired.front().is_some_and(is_over) {
+            self.retired.pop_front();
+        }
+    }
+
     fn forget(&mut self, id: LeafId) {
         self.displaced.remove(&id);
         let Some(leaf) = self.leafs.remove(&id) else {
--- a/crates/edge/src/edge/updates.rs
+++ b/crates/edge/src/edge/updates.rs
@@ -35,6 +35,7 @@
         if !is_restored {
             return;
         }
+        self.directory.store_restored(now);
         let nodes = u32::try_from(self.nodes()).unwrap_or(u32::MAX);
         let (seed, spread) = (self.settings.seed, write_spread(nodes));
         self.moves
@@ -173,9 +174,9 @@
     }
 
     /// Closes these failure domains and opens all others.
-    pub fn close_domains(&mut self, domains: HashSet<Name>) {
+    pub fn close_domains(&mut self, domains: HashSet<Name>, now: Time) {
         self.domains_listed = true;
-        self.directory.close_domains(domains);
+        self.directory.close_domains(domains, now);
     }
 
     /// Replaces the orders of version moves.
--- a/crates/edge/src/version_moves.rs
+++ b/crates/edge/src/version_moves.rs
@@ -13,7 +13,7 @@
 use smallvec::SmallVec;
 
 use crate::config::Name;
-use crate::directory::Directory;
+use crate::directory::{Directory, SETTLE_TIME};
 use crate::ledger_client::{CallRecord, LedgerClient, MovePost};
 use crate::versions::Versions;
 
@@ -25,8 +25,6 @@
 /// move's duration that this time may be.
 const ANNOUNCE_DELAY: Duration = Duration::from_secs(1);
 const ANNOUNCE_PART: f64 = 0.1;
-/// Time after a return of the store from an older copy until what was written since the copy has been written again.
-const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Least time until a node writes a state again that a restored store lacks, in addition to its share of the spread.
 const REWRITE_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of earlier orders and identities per service that are remembered.
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -254,7 +254,7 @@
             routes: Vec::new(),
         };
         assert!(node.edge.set_config(config));
-        node.edge.close_domains(HashSet::new());
+        node.edge.close_domains(HashSet::new(), Time::default());
         node.apply(|edge, now, out| edge.set_moves(Vec::new(), now, out));
         node.apply(|edge, now, out| edge.replace_leafs(leafs, now, out));
         node
--- a/crates/edge/tests/directory.rs
+++ b/crates/edge/tests/directory.rs
@@ -30,9 +30,9 @@
     };
     directory.upsert(draining, NOW);
     assert_eq!(directory.usable("s").len(), 1);
-    directory.close_domains(HashSet::from([Name::from("a")]));
+    directory.close_domains(HashSet::from([Name::from("a")]), NOW);
     assert!(directory.usable("s").is_empty());
-    directory.close_domains(HashSet::new());
+    directory.close_domains(HashSet::new(), NOW);
     assert_eq!(directory.usable("s").len(), 1);
 }
 
@@ -117,3 +117,82 @@
     assert_eq!(directory.replace(listed, NOW).len(), 1);
     assert_eq!(directory.len(), 9);
 }
+
+/// When the store is restored from an older copy, and when it has settled.
+const RESTORED_AT: Time = Time::from_millis(20_000);
+const SETTLED_AT: Time = Time::from_millis(25_001);
+
+/// Guards against a leaf that gets work again since the copy says that it does not drain yet.
+#[test]
+fn draining_leaf_keeps_draining_over_the_return() {
+    let mut directory = directory(2);
+    let draining = LeafEntry {
+        draining: true,
+        ..leaf("l0", "s")
+    };
+    directory.upsert(draining, NOW);
+    directory.store_restored(RESTORED_AT);
+    directory.replace(vec![leaf("l0", "s"), leaf("l1", "s")], RESTORED_AT);
+    assert_eq!(directory.usable("s").len(), 1);
+    // Another incarnation of the name is another leaf.
+    let next = LeafEntry {
+        born: leaf("l0", "s").born + 1,
+        ..leaf("l0", "s")
+    };
+    directory.upsert(next, RESTORED_AT);
+    assert_eq!(directory.usable("s").len(), 2);
+}
+
+/// Guards against calls to a leaf that has left, and whose entry came back with the copy. If it is alive, it writes its
+/// entry again.
+#[rstest]
+#[case::written_again(true)]
+#[case::settled(false)]
+fn retired_leaf_is_not_called_when_its_entry_comes_back(#[case] is_written: bool) {
+    let mut directory = directory(10);
+    directory.remove("l3", NOW);
+    directory.store_restored(RESTORED_AT);
+    directory.upsert(leaf("l3", "s"), RESTORED_AT);
+    assert_eq!(directory.usable("s").len(), 9);
+    if is_written {
+        directory.upsert(leaf("l3", "s"), RESTORED_AT);
+    } else {
+        directory.expire(SETTLED_AT);
+    }
+    assert_eq!(directory.usable("s").len(), 10);
+}
+
+/// Guards against a living leaf that is dropped since the copy is older than its entry.
+#[test]
+fn leaf_missing_in_the_copy_is_held() {
+    let mut directory = directory(10);
+    directory.store_restored(RESTORED_AT);
+    let rest = (1..10).map(|index| leaf(&format!("l{index}"), "s"));
+    assert!(directory.replace(rest.collect(), RESTORED_AT).is_empty());
+    assert_eq!(directory.usable("s").len(), 10);
+    directory.expire(SETTLED_AT);
+    assert_eq!(directory.usable("s").len(), 9);
+}
+
+/// Guards against a domain that is opened since the copy is older than its evacuation (EVAC).
+#[rstest]
+#[case::closed_again(true)]
+#[case::settled(false)]
+fn closed_domain_stays_closed_until_the_store_has_settled(#[case] is_closed_again: bool) {
+    let mut directory = directory(2);
+    let closed = || HashSet::from([Name::from("a")]);
+    directory.close_domains(closed(), NOW);
+    directory.store_restored(RESTORED_AT);
+    directory.close_domains(HashSet::new(), RESTORED_AT);
+    assert!(directory.usable("s").is_empty());
+    if is_closed_again {
+        directory.close_domains(closed(), RESTORED_AT);
+    }
+    assert_eq!(
+        directory.next_expiry(),
+        Some(RESTORED_AT + Duration::from_secs(5))
+    );
+    directory.expire(SETTLED_AT);
+    assert_eq!(directory.usable("s").is_empty(), is_closed_again);
+    assert_eq!(directory.next_expiry(), None);
+}
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -373,7 +373,7 @@
     let mut edge = Edge::new(EdgeSettings::default());
     let (now, mut out) = (Time::from_millis(1_000), Vec::new());
     edge.set_config(config(1, vec![route], 40));
-    edge.close_domains(HashSet::new());
+    edge.close_domains(HashSet::new(), Time::default());
     edge.replace_leafs(old_leafs(), now, &mut out);
     assert!(!edge.is_ready());
     edge.set_moves(Vec::new(), now, &mut out);
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -391,7 +391,8 @@
             }
             Update::ClosedDomains(domains) => {
                 log::info!(domains:? = domains; "failure domains closed");
-                self.edge.close_domains(domains);
+                let now = self.clock.now();
+                self.edge.close_domains(domains, now);
             }
             Update::Settings(settings) => {
                 log::info!(settings:? = settings; "settings reloaded");
