Version moves: versions without an order get no calls after a completed move

Found by version_without_order_is_not_called_before_the_store_has_settled: leafs of a later version that register before their order is known got calls at once, without permits, if the service had been moved before.

Cause: after a completed move all leafs but those of former versions were called.

Change: only those of the version that the service was moved to, and of versions established since.

Evidence: the test failed on the code before.

move_completed_stops_calls_to_the_previous_version passed the fetch that the node had sent before the leaf of the later version was there: what it told says nothing of that version, and the calls were expected all the same. It waits for the next fetch now, and checks that there are no calls before it is answered.

--- a/crates/edge/src/version_moves.rs
+++ b/crates/edge/src/version_moves.rs
@@ -473,7 +473,10 @@
             };
         };
         let is_new = |id: &LeafId| match mv.order.state {
-            MoveState::Completed => version(id).is_none_or(|v| !mv.previous.contains(v)),
+            MoveState::Completed => version(id).is_none_or(|v| {
+                let is_confirmed = *v == mv.order.version || versions.is_established(service, v);
+                is_confirmed && !mv.previous.contains(v)
+            }),
             _ => version(id) == Some(&mv.order.version),
         };
         let (new, old): (SmallVec<[LeafId; 4]>, SmallVec<[LeafId; 4]>) =
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -355,8 +355,17 @@
         version: Name::from("v3"),
         ..leaf("later-1", "s")
     };
+    // The fetch at the start of the node was not answered.
+    node.fetch_time = None;
+    node.run_for(Duration::from_secs(2));
     node.apply(|edge, now, out| edge.upsert_leaf(later.clone(), now, out));
+    node.run_for(Duration::from_secs(2));
     let fetch_time = node.fetch_time.expect("the node asks the store for orders");
+    assert!(
+        calls_by_leaf(&mut node)
+            .keys()
+            .all(|name| is_new_leaf(name))
+    );
     let orders = vec![order(MoveState::Completed)];
     node.apply(|edge, now, out| edge.orders_fetched(orders, fetch_time, now, out));
     let mut entries = old_leafs();
--- a/crates/edge/tests/restored_store.rs
+++ b/crates/edge/tests/restored_store.rs
@@ -309,6 +309,30 @@
     assert!(!decisions(&node).contains(&(2, "v2", MoveState::RolledBack)));
 }
 
+/// Guards against a version that is taken for an established one since the copy lacks its order (EXPOSURE).
+#[test]
+fn version_without_order_is_not_called_before_the_store_has_settled() {
+    let mut node = node(MoveState::Completed);
+    enter_era(&mut node, 2);
+    set_moves(&mut node, vec![]);
+    node.apply(|edge, now, out| edge.upsert_leaf(leaf_of("v3"), now, out));
+    node.run_for(Duration::from_secs(4));
+    assert_eq!(node.fetch_time, None);
+    for _ in 0..10 {
+        node.request("r");
+    }
+    assert!(node.calls.iter().all(|call| &*call.instance == "v2-1"));
+    set_moves(
+        &mut node,
+        vec![order(id_in(2, 3, 4), "v3", MoveState::Asked)],
+    );
+    node.run_for(Duration::from_secs(2));
+    assert_eq!(
+        decisions(&node).last(),
+        Some(&(2, "v3", MoveState::Running))
+    );
+}
+
 /// Guards against a node that waits for ever for the reply to a posting that it sent before the return.
 #[test]
 fn posting_in_flight_ends_over_the_return() {
