Version moves: a module for each job

version_moves.rs had grown to 700 lines: orders, decisions and reports are in messages.rs now, one move at a node in single_move.rs, replaced orders in replaced_orders.rs; mod.rs holds what is called from outside. No behaviour changes.

--- a/crates/edge/src/version_moves.rs
+++ b/crates/edge/src/version_moves/mod.rs
@@ -4,14 +4,20 @@
 //! nodes share ([`monsoondeal_moves::Ledger`]). Hedges and retries stay with the old version while it has
 //! leafs, so that a bad version costs a caller at most one call.
 
+mod messages;
+mod replaced_orders;
+mod single_move;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
 use monsoondeal_core::{LeafId, Time};
-use monsoondeal_moves::{LatencyHistogram, MoveLimits, OrderId, PostingReply, Ruling, Totals};
-use serde::{Deserialize, Serialize};
+use monsoondeal_moves::{LatencyHistogram, MoveLimits, PostingReply, Ruling};
 use smallvec::SmallVec;
 
+pub use self::messages::{MoveCause, MoveCount, MoveDecision, MoveOrder, MoveReport, MoveState};
+use self::replaced_orders::ReplacedOrders;
+use self::single_move::{Move, REWRITE_DELAY};
 use crate::config::Name;
 use crate::directory::{Directory, SETTLE_TIME};
 use crate::ledger_client::{CallRecord, LedgerClient, MovePost};
@@ -21,240 +27,6 @@
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 /// Part of the move's duration in which cold leafs of the new version are not called.
 const WARM_ONLY_PART: f64 = 0.4;
-/// Time after which a node announces that a move runs if no other node has, and the longest part of the
-/// move's duration that this time may be.
-const ANNOUNCE_DELAY: Duration = Duration::from_secs(1);
-const ANNOUNCE_PART: f64 = 0.1;
-/// Least time until a node writes a state again that a restored store lacks, in addition to its share of the spread.
-const REWRITE_DELAY: Duration = Duration::from_millis(500);
-/// Maximum number of earlier orders and identities per service that are remembered.
-const MAX_FORMER: usize = 8;
-
-/// `MoveState` is the state of a version move, as all nodes know it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub enum MoveState {
-    /// The move is ordered, and no node has announced that it runs.
-    Asked,
-    /// The move runs.
-    Running,
-    /// All traffic goes to the new version from now on.
-    Completed,
-    /// No traffic goes to the new version.
-    RolledBack,
-}
-
-impl MoveState {
-    /// Returns whether no other state follows.
-    pub fn is_final(self) -> bool {
-        matches!(self, Self::Completed | Self::RolledBack)
-    }
-}
-
-/// `MoveOrder` is the order to move a service to another version of its leafs.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-pub struct MoveOrder {
-    /// Service to move.
-    pub service: Name,
-    /// Identity of the order.
-    #[serde(flatten)]
-    pub id: OrderId,
-    /// The new version.
-    pub version: Name,
-    /// Time from the order within which the move must be completed.
-    pub duration: Duration,
-    /// Lower bound of the time since the order.
-    pub elapsed: Duration,
-    /// State of the move.
-    pub state: MoveState,
-}
-
-/// `MoveCause` is why a node changes a version move's state.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MoveCause {
-    /// The order is new.
-    Ordered,
-    /// The ledger of the move has reached this ruling.
-    Ruled(Ruling),
-}
-
-/// `MoveCount` holds the counts of a version move.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct MoveCount {
-    /// Calls of this node that reached the service.
-    pub calls: u64,
-    /// Calls of this node that were sent to the new version.
-    pub trials: u64,
-    /// Totals of all nodes as of this node's latest posting.
-    pub totals: Totals,
-}
-
-/// `MoveDecision` is a change of a version move's state that the node asks to be recorded.
-#[derive(Clone, Debug, PartialEq)]
-pub struct MoveDecision {
-    /// Service that is moved.
-    pub service: Name,
-    /// Identity of the order that is decided on. The decision holds for no other order of the version.
-    pub id: OrderId,
-    /// The new version.
-    pub version: Name,
-    /// New state of the move.
-    pub state: MoveState,
-    /// Reason for the change.
-    pub cause: MoveCause,
-    /// Counts until now.
-    pub count: MoveCount,
-}
-
-/// `MoveReport` describes the progress of a running version move at the node, for the log.
-#[derive(Clone, Debug, PartialEq)]
-pub struct MoveReport {
-    /// Service that is moved.
-    pub service: Name,
-    /// The new version.
-    pub version: Name,
-    /// Lower bound of the time since the order.
-    pub elapsed: Duration,
-    /// Counts until now.
-    pub count: MoveCount,
-}
-
-/// A version move at this node.
-#[derive(Debug)]
-struct Move {
-    order: MoveOrder,
-    /// Identities that the order had before the store was restored from an older copy.
-    former_ids: SmallVec<[OrderId; 1]>,
-    ledger: LedgerClient,
-    seen_at: Time,
-    /// Versions that the service had before the move was completed. Calls to their leafs stop at once.
-    previous: SmallVec<[Name; 2]>,
-    /// Since when the order has been missing in the listings, which may be older than what this node knows.
-    missing_since: Option<Time>,
-    /// Whether the store has confirmed that the order was withdrawn before this node knew the end of the move.
-    is_withdrawn: bool,
-    /// Reason for the present state.
-    cause: MoveCause,
-    /// Latest state that this node asked to be recorded.
-    requested: Option<MoveState>,
-    /// Set when the store was restored from an older copy: no state is written again before. `None` once the store is known
-    /// to hold the state.
-    rewrite_after: Option<Time>,
-    /// Whether the restored store is known to lack the end of the move.
-    is_end_lost: bool,
-    /// Part of this node in the spread of writes after a return of the store.
-    jitter: Duration,
-    /// Number of calls at the latest report, and its time.
-    reported: (u64, Time),
-}
-
-impl Move {
-    fn is_running(&self) -> bool {
-        !self.order.state.is_final()
-    }
-
-    /// Applies the end of the move to the versions.
-    fn apply_end(&mut self, versions: &mut Versions) {
-        let (service, version) = (&self.order.service, &self.order.version);
-        match self.order.state {
-            MoveState::Completed if self.previous.is_empty() => {
-                self.previous = versions.complete(service, version);
-            }
-            MoveState::RolledBack => versions.roll_back(service, version),
-            MoveState::Asked | MoveState::Running | MoveState::Completed => {}
-        }
-    }
-
-    /// Returns when this node announces that the move runs if no other node has.
-    fn announce_at(&self) -> Time {
-        let delay = ANNOUNCE_DELAY.min(self.order.duration.mul_f64(ANNOUNCE_PART));
-        (self.seen_at + delay).max(self.rewrite_after.unwrap_or_default())
-    }
-
-    /// Returns when the end of the move is written again, if the store lacks it.
-    fn rewrite_at(&self) -> Option<Time> {
-        self.rewrite_after.filter(|_| self.is_end_lost)
-    }
-
-    fn is_for(&self, order: &MoveOrder) -> bool {
-        self.order.version == order.version && self.has_id(order.id)
-    }
-
-    /// Returns whether this is, or was before a return of the store, the identity of the order.
-    fn has_id(&self, id: OrderId) -> bool {
-        let mut former = self.former_ids.iter();
-        self.order.id.is_same(id) || former.any(|former| former.is_same(id))
-    }
-
-    /// Returns whether an order is the same as this one, written again after a return of the store. Once the store has
-    /// settled, it is a new one, unless the service has been moved already.
-    fn is_restored_by(&self, order: &MoveOrder, is_settled: bool) -> bool {
-        let (held, listed) = (self.order.id.revision, order.id.revision);
-        let is_later_era = held.is_of_earlier_era(listed);
-        let was_renamed = held.era == listed.era && !self.former_ids.is_empty();
-        let is_completed = self.order.state == MoveState::Completed;
-        let is_rewritten = match is_settled {
-            false => is_later_era || was_renamed,
-            true => is_later_era && is_completed,
-        };
-        let is_same = self.order.version == order.version && self.order.duration == order.duration;
-        is_rewritten && is_same && !self.is_withdrawn
-    }
-
-    /// Takes over the identity that the order has in the restored store.
-    fn rename(&mut self, id: OrderId, now: Time) {
-        self.rewrite_after
-            .get_or_insert(now + REWRITE_DELAY + self.jitter);
-        self.former_ids.push(self.order.id);
-        if self.former_ids.len() > MAX_FORMER {
-            self.former_ids.remove(0);
-        }
-        self.order.id = id;
-        // What was asked for under the former identity may have come to nothing.
-        if self.is_running() {
-            self.requested = None;
-        }
-    }
-
-    /// Has the state of the move written again if the store lacks it, and the postings, since the store was restored from
-    /// an older copy.
-    fn store_restored(&mut self, jitter: Duration, now: Time) {
-        self.jitter = jitter;
-        self.rewrite_after = Some(now + REWRITE_DELAY + jitter);
-        self.is_end_lost = false;
-        if self.is_running() {
-            self.requested = None;
-        }
-        self.ledger.store_restored(now + jitter);
-    }
-
-    fn count(&self) -> MoveCount {
-        MoveCount {
-            calls: self.ledger.calls,
-            trials: self.ledger.trials,
-            totals: self.ledger.totals.clone(),
-        }
-    }
-
-    /// Applies a listed order. A state that is final at this node stays, unless the listed state is final
-    /// as well.
-    fn update(&mut self, order: MoveOrder, now: Time) {
-        self.ledger.note_elapsed(order.elapsed, now);
-        let state = match (self.order.state, order.state) {
-            (held, listed) if held.is_final() && !listed.is_final() => held,
-            (_, listed) => listed,
-        };
-        if self.rewrite_after.is_some() {
-            self.is_end_lost = state.is_final() && order.state != state && !self.is_withdrawn;
-        }
-        if order.state == state && state != MoveState::Asked {
-            self.rewrite_after = None;
-        }
-        // An earlier program, or the state from before a return of the store, names the order otherwise.
-        let is_current = order.id.revision.number > 0 && self.order.id.is_same(order.id);
-        let id = if is_current { order.id } else { self.order.id };
-        self.order = MoveOrder { id, state, ..order };
-    }
-}
 
 /// `CallableLeafs` are the leafs of a service that a call may go to.
 #[derive(Debug, Default)]
@@ -300,32 +72,14 @@
 pub(crate) struct VersionMoves {
     /// The latest move of each service, kept after its end.
     moves: HashMap<Name, Move>,
-    /// Orders that others of their service have replaced, oldest first.
-    replaced: HashMap<Name, SmallVec<[Replaced; 2]>>,
+    /// Orders that others of their service have replaced.
+    replaced: ReplacedOrders,
     /// When the store has settled after it was restored from an older copy: what the operators had written since the copy
     /// has been written again.
     settles_at: Time,
     versions: Versions,
 }
 
-/// An order that another one has replaced.
-#[derive(Debug)]
-struct Replaced {
-    id: OrderId,
-    version: Name,
-}
-
-impl Replaced {
-    /// Returns whether an order that a restored store lists is this one: a copy keeps the numbers.
-    fn is_copy(&self, order: &MoveOrder) -> bool {
-        let (held, listed) = (self.id, order.id);
-        self.version == order.version
-            && held.created == listed.created
-            && held.revision.number == listed.revision.number
-            && held.revision.is_of_earlier_era(listed.revision)
-    }
-}
-
 impl VersionMoves {
     /// Returns whether the orders have been listed.
     pub(crate) fn orders_listed(&self) -> bool {
@@ -349,26 +103,6 @@
         }
     }
 
-    /// Returns whether an order is one that another has replaced, in the older copy from which the store was restored a
-    /// moment ago.
-    fn is_outdated(&self, order: &MoveOrder, now: Time) -> bool {
-        let replaced = self.replaced.get(&order.service);
-        let is_copy = replaced.is_some_and(|list| list.iter().any(|r| r.is_copy(order)));
-        is_copy && now < self.settles_at
-    }
-
-    /// Remembers an order that another one replaces.
-    fn remember_replaced(&mut self, order: &MoveOrder) {
-        let list = self.replaced.entry(order.service.clone()).or_default();
-        list.push(Replaced {
-            id: order.id,
-            version: order.version.clone(),
-        });
-        if list.len() > MAX_FORMER {
-            list.remove(0);
-        }
-    }
-
     /// Replaces the orders, each with the limits of its move. `begin` creates the ledger client of a move
     /// that is new to this node.
     pub(crate) fn set_orders<F>(
@@ -399,45 +133,25 @@
         let service = order.service.clone();
         let is_settled = now >= self.settles_at;
         let mut mv = match self.moves.remove(&service) {
-            Some(mut held) if held.is_for(&order) => {
-                held.missing_since = None;
-                held.ledger.set_limits(limits);
-                held.update(order, now);
-                held
-            }
-            Some(mut held) if held.is_restored_by(&order, is_settled) => {
-                held.missing_since = None;
-                held.rename(order.id, now);
-                held.ledger.set_limits(limits);
-                held.update(order, now);
+            Some(mut held) if held.is_for(&order) || held.is_restored_by(&order, is_settled) => {
+                held.listed(order, limits, now);
                 held
             }
             // The listing is older than what this node knows.
-            Some(held) if order.id.is_before(held.order.id) || self.is_outdated(&order, now) => {
+            Some(held)
+                if order.id.is_before(held.order.id)
+                    || (!is_settled && self.replaced.has_copy(&order)) =>
+            {
                 held
             }
             held => {
                 if let Some(held) = held {
-                    self.remember_replaced(&held.order);
+                    self.replaced.remember(&held.order);
                 }
                 self.versions.mark_tried(&service, &order.version);
                 let mut ledger = begin(&service, limits);
                 ledger.note_elapsed(order.elapsed, now);
-                Move {
-                    ledger,
-                    seen_at: now,
-                    previous: SmallVec::new(),
-                    missing_since: None,
-                    is_withdrawn: false,
-                    cause: MoveCause::Ordered,
-                    requested: None,
-                    rewrite_after: None,
-                    is_end_lost: false,
-                    jitter: Duration::ZERO,
-                    reported: (0, now),
-                    former_ids: SmallVec::new(),
-                    order,
-                }
+                Move::new(order, ledger, now)
             }
         };
         mv.apply_end(&mut self.versions);
@@ -627,7 +341,7 @@
     pub(crate) fn due_decisions(&mut self, now: Time) -> Vec<MoveDecision> {
         let mut decisions = Vec::new();
         for mv in self.moves.values_mut() {
-            let Some(next_state) = due_state(mv, now) else {
+            let Some(next_state) = mv.due_state(now) else {
                 continue;
             };
             mv.requested = Some(next_state);
@@ -678,22 +392,3 @@
         wakes.flatten().chain(rewrites).chain(fetch).min()
     }
 }
-
-/// Returns the state that is to be recorded next, if any.
-fn due_state(mv: &Move, now: Time) -> Option<MoveState> {
-    if let Some(at) = mv.rewrite_at() {
-        return (now >= at).then_some(mv.order.state);
-    }
-    let state = match (mv.order.state, mv.cause) {
-        (MoveState::Asked, _) => {
-            // One announcement is enough. The process that began the ledger makes it, the others only if it
-            // is late.
-            let is_first = mv.ledger.totals.processes == 1;
-            let is_late = now >= mv.announce_at();
-            (is_first || is_late).then_some(MoveState::Running)?
-        }
-        (MoveState::Running, _) | (_, MoveCause::Ordered) => return None,
-        (state, MoveCause::Ruled(_)) => state,
-    };
-    (mv.requested != Some(state)).then_some(state)
-}
