Store: the first era may be zero

Found in the reading of the diff: zero stood for an era that isn't known, so a store whose eras begin with zero would have been taken for one that names none, and its first return been missed. An era that isn't known is `None` now, also where it is stored.

--- a/crates/core/src/revision.rs
+++ b/crates/core/src/revision.rs
@@ -12,21 +12,27 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Revision {
-    /// Number of the era, which rises each time that the store is restored; zero if the store names none.
-    pub era: u64,
+    /// Number of the era, which rises each time that the store is restored; `None` if it is not known.
+    pub era: Option<u64>,
     /// Number of the revision within the era; zero if it is not known.
     pub number: u64,
 }
 
 impl Revision {
-    /// Creates a revision.
-    pub fn new(era: u64, number: u64) -> Self {
-        Self { era, number }
+    /// Creates a revision, of an era that is known or not.
+    pub fn new<E>(era: E, number: u64) -> Self
+    where
+        E: Into<Option<u64>>,
+    {
+        Self {
+            era: era.into(),
+            number,
+        }
     }
 
     /// Returns whether the numbers of both revisions can be compared: they are of one era, as far as that is known.
     pub fn shares_era(self, other: Self) -> bool {
-        self.era == 0 || other.era == 0 || self.era == other.era
+        self.era.is_none() || other.era.is_none() || self.era == other.era
     }
 
     /// Returns whether the revision was given before the store was restored to the era of another one.
@@ -37,6 +43,9 @@
 
 impl fmt::Display for Revision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.era, self.number)
+        match self.era {
+            Some(era) => write!(f, "{era}.{}", self.number),
+            None => write!(f, "?.{}", self.number),
+        }
     }
 }
--- a/crates/edge/src/edge/mod.rs
+++ b/crates/edge/src/edge/mod.rs
@@ -162,8 +162,8 @@
 pub struct Edge {
     settings: EdgeSettings,
     config: Option<Rc<Config>>,
-    /// Newest known era of the store; zero until it is known.
-    era: u64,
+    /// Newest known era of the store.
+    era: Option<u64>,
     /// Whether a full listing of the leafs has been received.
     leafs_listed: bool,
     /// Whether the list of closed failure domains has been received.
@@ -209,7 +209,7 @@
             after_restart: !settings.former_time.is_zero(),
             settings,
             config: None,
-            era: 0,
+            era: None,
             leafs_listed: false,
             domains_listed: false,
             peers: Vec::new(),
@@ -271,8 +271,8 @@
         self.shares.nodes()
     }
 
-    /// Returns the newest known era of the store; zero if it is not known.
-    pub fn store_era(&self) -> u64 {
+    /// Returns the newest known era of the store.
+    pub fn store_era(&self) -> Option<u64> {
         self.era
     }
 
--- a/crates/edge/src/edge/updates.rs
+++ b/crates/edge/src/edge/updates.rs
@@ -26,20 +26,21 @@
     /// Records the store's era. A later one than the known one means that the store was restored from a copy some seconds
     /// old: what it lacks is not withdrawn, and what it shows may be outdated, until it has been written again. What this
     /// system alone wrote is written again now.
-    pub fn note_store_era(&mut self, era: u64, now: Time, out: &mut Vec<Action>) {
+    pub fn note_store_era(&mut self, era: Option<u64>, now: Time, out: &mut Vec<Action>) {
         if era <= self.era {
             return;
         }
-        let is_restored = self.era > 0;
-        self.era = era;
-        if !is_restored {
-            return;
+        let previous = std::mem::replace(&mut self.era, era);
+        if let (Some(era), Some(_)) = (era, previous) {
+            self.store_restored(era, now, out);
         }
+    }
+
+    fn store_restored(&mut self, era: u64, now: Time, out: &mut Vec<Action>) {
         self.directory.store_restored(now);
-        let nodes = u32::try_from(self.nodes()).unwrap_or(u32::MAX);
-        let (seed, spread) = (self.settings.seed, write_spread(nodes));
-        self.moves
-            .store_restored(spread.mul_f64(process_jitter(seed, era)), now);
+        let spread = write_spread(self.nodes());
+        let jitter = spread.mul_f64(process_jitter(self.settings.seed, era));
+        self.moves.store_restored(jitter, now);
         out.push(Action::Register { era, spread });
         self.drive_moves(now, out);
     }
@@ -260,7 +261,8 @@
 }
 
 /// Returns the span over which this many nodes spread writes that each of them makes once.
-fn write_spread(nodes: u32) -> Duration {
+fn write_spread(nodes: usize) -> Duration {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
     let spread = REGISTER_SPREAD_PER_NODE.saturating_mul(nodes);
     spread.max(MIN_REGISTER_SPREAD)
 }
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -173,7 +173,7 @@
 pub fn order_id(number: u64) -> OrderId {
     OrderId {
         created: number,
-        revision: Revision::new(0, number),
+        revision: Revision::new(None, number),
     }
 }
 
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -318,7 +318,7 @@
     let mut node = node(earlier);
     let again = MoveOrder {
         id: OrderId {
-            revision: Revision::new(0, 5),
+            revision: Revision::new(None, 5),
             ..order_id(1)
         },
         ..order(MoveState::Asked)
--- a/crates/edge/tests/restored_store.rs
+++ b/crates/edge/tests/restored_store.rs
@@ -60,7 +60,7 @@
 }
 
 fn enter_era(node: &mut Node, era: u64) {
-    node.apply(|edge, now, out| edge.note_store_era(era, now, out));
+    node.apply(|edge, now, out| edge.note_store_era(Some(era), now, out));
 }
 
 fn set_moves(node: &mut Node, orders: Vec<MoveOrder>) {
@@ -71,7 +71,7 @@
 fn decisions(node: &Node) -> Vec<(u64, &str, MoveState)> {
     let decisions = node.decisions.iter();
     decisions
-        .map(|d| (d.id.revision.era, &*d.version, d.state))
+        .map(|d| (d.id.revision.era.expect("an era"), &*d.version, d.state))
         .collect()
 }
 
@@ -186,7 +186,7 @@
     assert!(node.decisions.is_empty(), "not all nodes at once");
     node.run_for(Duration::from_secs(1));
     if is_rewritten {
-        let written = [(id.revision.era, "v2", MoveState::Completed)];
+        let written = [(id.revision.era.expect("an era"), "v2", MoveState::Completed)];
         assert_eq!(decisions(&node), written);
         set_moves(&mut node, vec![order(id, "v2", MoveState::Completed)]);
     }
--- a/crates/gateway/src/relay/mirror.rs
+++ b/crates/gateway/src/relay/mirror.rs
@@ -80,7 +80,10 @@
     /// Returns the configuration as of a return of the store to this era; `None` if the configuration is not known, or is
     /// of that era or a later one.
     pub(super) fn restored_config(&self, era: u64) -> Option<Config> {
-        let held = self.config.as_ref().filter(|held| held.listed.era < era)?;
+        let held = self
+            .config
+            .as_ref()
+            .filter(|held| held.listed.era < Some(era))?;
         let mut config = Config::clone(held);
         config.listed = Revision::new(era, 0);
         Some(config)
--- a/crates/moves/src/order.rs
+++ b/crates/moves/src/order.rs
@@ -44,8 +44,8 @@
     created: u64,
     #[serde(default, skip_serializing_if = "is_zero")]
     revision: u64,
-    #[serde(default, skip_serializing_if = "is_zero")]
-    era: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    era: Option<u64>,
 }
 
 impl From<WireOrderId> for OrderId {
--- a/crates/moves/tests/order.rs
+++ b/crates/moves/tests/order.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 
 fn id() -> impl Strategy<Value = OrderId> {
-    (0_u64..4, 0_u64..3, 0_u64..4).prop_map(|(created, era, number)| OrderId {
+    (0_u64..4, prop::option::of(0_u64..2), 0_u64..4).prop_map(|(created, era, number)| OrderId {
         created,
         revision: Revision::new(era, number),
     })
@@ -29,7 +29,7 @@
     let later = OrderKey {
         id: OrderId {
             created: 7,
-            revision: Revision::new(0, 9),
+            revision: Revision::new(None, 9),
         },
         version: "v2".to_owned(),
     };
@@ -44,15 +44,15 @@
 /// and are given out again.
 #[test]
 fn order_id_is_ordered_by_era_first() {
-    let id = |created, era, number| OrderId {
+    let id = |created, era: Option<u64>, number| OrderId {
         created,
         revision: Revision::new(era, number),
     };
-    assert!(id(9, 1, 20).is_before(id(3, 2, 4)));
-    assert!(!id(3, 2, 4).is_before(id(9, 1, 20)));
-    assert!(!id(9, 1, 20).is_same(id(9, 2, 20)));
+    assert!(id(9, Some(0), 20).is_before(id(3, Some(1), 4)));
+    assert!(!id(3, Some(1), 4).is_before(id(9, Some(0), 20)));
+    assert!(!id(9, Some(0), 20).is_same(id(9, Some(1), 20)));
     // An earlier program names no era.
-    assert!(id(9, 0, 20).is_same(id(9, 2, 20)));
+    assert!(id(9, None, 20).is_same(id(9, Some(1), 20)));
 }
 
 /// The era is stored beside the revision, where earlier programs do not look.
