Ledgers: what was known before a return of the store is told until it is recorded

Found in the reading of the diff: the flag that the store was restored was never taken back, so each later posting of a node raised the floor of the ledger to the totals of that moment. Permits that were given back afterwards stayed counted, and the rest of the move got fewer than allowed.

Cause: the flag stood beside the totals of the latest reply, and nothing cleared it.

Change: a node keeps the totals as they were when the store returned, and tells them until a posting that does is recorded. The ledger counts permits, settled ones and bad answers with their floor in one place, for grants and for replies.

The state of a move that was asked for is recorded by the move itself; the two proptests of the ledger share what a process does.

--- a/crates/edge/src/ledger_client.rs
+++ b/crates/edge/src/ledger_client.rs
@@ -126,8 +126,9 @@
     /// Postings that the ledger has recorded, oldest first, each with the time of the reply. A ledger that was restored from
     /// an older copy may lack some.
     recorded: VecDeque<(Time, Rc<RecordedPosting>)>,
-    /// Whether the store has been restored from an older copy since the latest reply of the ledger.
-    is_restored: bool,
+    /// Totals as they were when the store was restored from an older copy; `None` once a posting that tells them has been
+    /// recorded.
+    totals_before: Option<Totals>,
 }
 
 impl LedgerClient {
@@ -177,14 +178,15 @@
             finish_spread: finish_spread.mul_f64(jitter),
             totals: Totals::default(),
             recorded: VecDeque::new(),
-            is_restored: false,
+            totals_before: None,
         }
     }
 
     /// Has the ledger written again at `at`, since the store was restored from an older copy.
     pub(crate) fn store_restored(&mut self, at: Time) {
         if !self.recorded.is_empty() {
-            self.is_restored = true;
+            self.totals_before
+                .get_or_insert_with(|| self.totals.clone());
             self.pending_since = Some(self.pending_since.map_or(at, |since| since.min(at)));
         }
     }
@@ -193,8 +195,14 @@
     pub(crate) fn history(&self) -> PostingHistory {
         PostingHistory {
             postings: self.recorded.iter().map(|(_, p)| p.clone()).collect(),
-            totals: self.totals.clone(),
-            is_restored: self.is_restored,
+            totals_before: self.totals_before.clone(),
+        }
+    }
+
+    /// Records that the ledger holds what a posting told of this node's history.
+    pub(crate) fn history_recorded(&mut self, history: &PostingHistory) {
+        if history.totals_before.is_some() {
+            self.totals_before = None;
         }
     }
 
--- a/crates/edge/src/version_moves/mod.rs
+++ b/crates/edge/src/version_moves/mod.rs
@@ -17,7 +17,7 @@
 
 pub use self::messages::{MoveCause, MoveCount, MoveDecision, MoveOrder, MoveReport, MoveState};
 use self::replaced_orders::ReplacedOrders;
-use self::single_move::{Move, REWRITE_DELAY};
+use self::single_move::Move;
 use crate::config::Name;
 use crate::directory::{Directory, SETTLE_TIME};
 use crate::ledger_client::{CallRecord, LedgerClient, MovePost};
@@ -298,6 +298,9 @@
         let Some(mv) = self.moves.get_mut(&post.service).filter(is_for) else {
             return;
         };
+        if reply.is_some_and(|reply| reply.is_recorded) {
+            mv.ledger.history_recorded(&post.history);
+        }
         let Some(ruling) = mv.ledger.post_ended(reply, jitter, now) else {
             return;
         };
@@ -344,11 +347,7 @@
             let Some(next_state) = mv.due_state(now) else {
                 continue;
             };
-            mv.requested = Some(next_state);
-            if mv.is_end_lost {
-                mv.is_end_lost = false;
-                mv.rewrite_after = Some(now + REWRITE_DELAY);
-            }
+            mv.state_requested(next_state, now);
             decisions.push(MoveDecision {
                 service: mv.order.service.clone(),
                 id: mv.order.id,
--- a/crates/edge/src/version_moves/single_move.rs
+++ b/crates/edge/src/version_moves/single_move.rs
@@ -16,7 +16,7 @@
 const ANNOUNCE_DELAY: Duration = Duration::from_secs(1);
 const ANNOUNCE_PART: f64 = 0.1;
 /// Least time until a node writes a state again that a restored store lacks, in addition to its share of the spread.
-pub(super) const REWRITE_DELAY: Duration = Duration::from_millis(500);
+const REWRITE_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of former identities of an order that are remembered.
 const MAX_FORMER: usize = 8;
 
@@ -185,6 +185,7 @@
         let id = if is_current { order.id } else { self.order.id };
         self.order = MoveOrder { id, state, ..order };
     }
+
     /// Returns the state that is to be recorded next, if any.
     pub(super) fn due_state(&self, now: Time) -> Option<MoveState> {
         if let Some(at) = self.rewrite_at() {
@@ -203,4 +204,11 @@
         };
         (self.requested != Some(state)).then_some(state)
     }
+    /// Records that this node has asked for a state to be recorded.
+    pub(super) fn state_requested(&mut self, state: MoveState, now: Time) {
+        self.requested = Some(state);
+        if std::mem::take(&mut self.is_end_lost) {
+            self.rewrite_after = Some(now + REWRITE_DELAY);
+        }
+    }
 }
--- a/crates/edge/tests/restored_store.rs
+++ b/crates/edge/tests/restored_store.rs
@@ -337,11 +337,7 @@
 #[test]
 fn posting_in_flight_ends_over_the_return() {
     let mut node = node(MoveState::Running);
-    node.request("r");
-    let call = node.calls[0].call;
-    node.end_call(call, success("1"));
-    node.run_for(Duration::from_secs(1));
-    let sent = node.posts.remove(0);
+    let sent = node.first_post("r");
     enter_era(&mut node, 2);
     set_moves(
         &mut node,
@@ -357,6 +353,35 @@
     assert_eq!(again.posting.sequence, sent.posting.sequence);
 }
 
+/// Guards against a ledger that grants too little for the rest of a move: what a node knew before the return is told until
+/// it is recorded, and not again.
+#[test]
+fn totals_from_before_the_return_are_told_once() {
+    let mut node = node(MoveState::Running);
+    let mut ledger = None;
+    let mut told = Vec::new();
+    for at in 0..6 {
+        if at == 3 {
+            enter_era(&mut node, 2);
+            ledger = None;
+        }
+        node.request("r");
+        let call = node.calls[0].call;
+        node.end_call(call, success("1"));
+        node.run_for(Duration::from_millis(1_500));
+        told.extend(node.posts.iter().map(|p| p.history.totals_before.is_some()));
+        node.answer_posts(&mut ledger);
+    }
+    let first = told.iter().position(|is_told| *is_told);
+    assert!(first.is_some_and(|first| first > 0), "{told:?}");
+    assert_eq!(
+        told.iter().filter(|is_told| **is_told).count(),
+        1,
+        "{told:?}"
+    );
+    assert_eq!(told.last(), Some(&false), "{told:?}");
+}
+
 /// A listing of an earlier era changes nothing.
 #[test]
 fn listing_of_earlier_era_is_ignored() {
--- a/crates/moves/src/ledger.rs
+++ b/crates/moves/src/ledger.rs
@@ -536,17 +536,31 @@
             CANARY_FRACTION
         };
         let max_permits = (fraction * limits.max_exposure(self.calls as f64)) as u64;
-        let net_permits = self.granted - self.returned.min(self.granted);
-        let net_permits = net_permits.max(self.floor.net_permits);
-        let unsettled = net_permits.saturating_sub(self.settled.max(self.floor.settled));
-        let bad = self.bad.max(self.floor.bad);
+        let net_permits = self.net_permits();
+        let unsettled = net_permits.saturating_sub(self.settled());
         let permits = wanted_permits
             .min(max_permits.saturating_sub(net_permits))
-            .min(BAD_LIMIT.saturating_sub(bad + unsettled));
+            .min(BAD_LIMIT.saturating_sub(self.bad() + unsettled));
         self.granted += permits;
         permits
     }
 
+    /// Returns the permits granted, less those returned.
+    fn net_permits(&self) -> u64 {
+        let net = self.granted - self.returned.min(self.granted);
+        net.max(self.floor.net_permits)
+    }
+
+    /// Returns the number of permits whose calls have ended.
+    fn settled(&self) -> u64 {
+        self.settled.max(self.floor.settled)
+    }
+
+    /// Returns the number of bad answers of the new version.
+    fn bad(&self) -> u64 {
+        self.bad.max(self.floor.bad)
+    }
+
     fn reply(&self, permits: u64, limits: &MoveLimits) -> PostingReply {
         PostingReply {
             permits,
@@ -555,9 +569,9 @@
             earliest_completion: self.earliest_completion(limits),
             totals: Totals {
                 calls: self.calls,
-                net_permits: self.granted - self.returned.min(self.granted),
-                settled: self.settled,
-                bad: self.bad,
+                net_permits: self.net_permits(),
+                settled: self.settled(),
+                bad: self.bad(),
                 processes: self.processes.len(),
                 evidence: self.evidence.clone(),
             },
--- a/crates/moves/src/ledger/restore.rs
+++ b/crates/moves/src/ledger/restore.rs
@@ -24,10 +24,9 @@
 pub struct PostingHistory {
     /// Recorded postings, oldest first.
     pub postings: Vec<Rc<RecordedPosting>>,
-    /// Totals of all processes as of the latest posting.
-    pub totals: Totals,
-    /// Whether the store has been restored from an older copy since the latest posting.
-    pub is_restored: bool,
+    /// Totals of all processes as of the latest reply before the store was restored from an older copy; `None` once a
+    /// posting has been recorded since.
+    pub totals_before: Option<Totals>,
 }
 
 /// Lower bounds of what the ledger would count if it had lost nothing.
@@ -49,8 +48,8 @@
         if self.ruling != Ruling::Running {
             return 0;
         }
-        if history.is_restored {
-            self.raise_floor(&history.totals);
+        if let Some(totals) = &history.totals_before {
+            self.raise_floor(totals);
         }
         let held = self.processes.get(&process).map_or(0, |p| p.sequence);
         let postings = history.postings.iter();
--- a/crates/moves/tests/ledger.rs
+++ b/crates/moves/tests/ledger.rs
@@ -8,7 +8,7 @@
 use monsoondeal_moves::ledger::BAD_LIMIT;
 use monsoondeal_moves::{
     LatencyHistogram, Ledger, MoveLimits, OrderId, OrderKey, Posting, PostingHistory, PostingReply,
-    RecordedPosting, RouteSamples, Ruling,
+    RecordedPosting, RouteSamples, Ruling, Totals,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -193,6 +193,7 @@
     permits: u64,
     latest: Option<Posting>,
     history: PostingHistory,
+    totals: Totals,
 }
 
 /// Calls that leafs have received, and bad answers.
@@ -204,6 +205,48 @@
 }
 
 impl Process {
+    /// Makes calls to the service, and asks for permits.
+    fn call(
+        &mut self,
+        (calls, wanted_permits): (u64, u64),
+        elapsed: Duration,
+        ledger: &mut Ledger,
+        received: &mut Received,
+    ) {
+        received.calls += calls;
+        let posting = Posting {
+            elapsed,
+            calls,
+            wanted_permits,
+            samples: samples(calls, 0, 0, 1),
+            ..Posting::default()
+        };
+        self.permits += self.post(ledger, posting).permits;
+    }
+
+    /// Uses all permits. None, half or all of the calls fail if `failing` is 0, 1 or 2.
+    fn use_permits(
+        &mut self,
+        failing: u64,
+        elapsed: Duration,
+        ledger: &mut Ledger,
+        received: &mut Received,
+    ) {
+        let used = std::mem::take(&mut self.permits);
+        let failed = used * failing / 2;
+        received.calls += used;
+        received.to_new += used;
+        received.bad += failed;
+        let posting = Posting {
+            elapsed,
+            calls: used,
+            settled: used,
+            samples: samples(0, used, failed, 1),
+            ..Posting::default()
+        };
+        self.post(ledger, posting);
+    }
+
     fn post(&mut self, ledger: &mut Ledger, posting: Posting) -> PostingReply {
         self.sequence += 1;
         let posting = Posting {
@@ -213,9 +256,9 @@
         };
         ledger.restore(self.name, &self.history);
         let reply = ledger.post(&posting, &limits());
-        self.history.is_restored = false;
-        self.history.totals = reply.totals.clone();
+        self.totals = reply.totals.clone();
         if reply.is_recorded {
+            self.history.totals_before = None;
             let recorded = RecordedPosting {
                 posting: posting.clone(),
                 permits: reply.permits,
@@ -246,26 +289,12 @@
             ledger = reread(&ledger);
             match action {
                 Action::Call(index, calls, wanted) => {
-                    received.calls += calls;
-                    let posting = Posting {
-                        elapsed, calls, wanted_permits: wanted, samples: samples(calls, 0, 0, 1), ..Posting::default()
-                    };
                     let process = &mut processes[index as usize];
-                    let reply = process.post(&mut ledger, posting);
-                    process.permits += reply.permits;
+                    process.call((calls, wanted), elapsed, &mut ledger, &mut received);
                 }
                 Action::Use(index, failing) => {
                     let process = &mut processes[index as usize];
-                    let used = std::mem::take(&mut process.permits);
-                    let failed = used * failing / 2;
-                    received.calls += used;
-                    received.to_new += used;
-                    received.bad += failed;
-                    let posting = Posting {
-                        elapsed, calls: used, settled: used,
-                        samples: samples(0, used, failed, 1), ..Posting::default()
-                    };
-                    process.post(&mut ledger, posting);
+                    process.use_permits(failing, elapsed, &mut ledger, &mut received);
                 }
                 Action::Restart(index) => {
                     let process = &mut processes[index as usize];
@@ -346,9 +375,9 @@
 #[case::not_restored(false)]
 fn ledger_counts_permits_that_were_granted_before_the_return(#[case] is_restored: bool) {
     let (_, mut processes) = posted_by_two();
-    let known = processes[1].history.totals.net_permits;
+    let known = processes[1].totals.net_permits;
     assert_eq!(known, 11, "all that the canary phase allows for");
-    processes[1].history.is_restored = is_restored;
+    processes[1].history.totals_before = is_restored.then(|| processes[1].totals.clone());
     let mut restored = ledger();
     let posting = asking(2, 3, 0);
     let reply = processes[1].post(&mut restored, posting);
@@ -388,32 +417,20 @@
             elapsed += Duration::from_millis(millis);
             match action {
                 Action::Call(index, calls, wanted) => {
-                    received.calls += calls;
-                    let posting = Posting {
-                        elapsed, calls, wanted_permits: wanted, samples: samples(calls, 0, 0, 1), ..Posting::default()
-                    };
                     let process = &mut processes[index as usize];
-                    process.permits += process.post(&mut ledger, posting).permits;
+                    process.call((calls, wanted), elapsed, &mut ledger, &mut received);
                 }
                 Action::Use(index, failing) => {
                     let process = &mut processes[index as usize];
-                    let used = std::mem::take(&mut process.permits);
-                    let failed = used * failing / 2;
-                    received.calls += used;
-                    received.to_new += used;
-                    received.bad += failed;
-                    let posting = Posting {
-                        elapsed, calls: used, settled: used,
-                        samples: samples(0, used, failed, 1), ..Posting::default()
-                    };
-                    process.post(&mut ledger, posting);
+                    process.use_permits(failing, elapsed, &mut ledger, &mut received);
                 }
                 Action::Restart(_) => {
                     // The store is restored from a copy that lacks the last `age` postings.
                     copies.truncate(copies.len().saturating_sub(age).max(1));
                     ledger = reread(copies.last().expect("a copy"));
                     for process in &mut processes {
-                        process.history.is_restored = true;
+                        let totals = &process.totals;
+                        process.history.totals_before.get_or_insert_with(|| totals.clone());
                     }
                     received.bad = 0;
                 }
