--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -102,8 +102,8 @@
     /// Domains that were closed when the store was restored, and that it does not list. They stay closed until it has
     /// settled.
     held_domains: HashSet<Name>,
-    /// When the store has settled after it was restored from an older copy.
-    settles_at: Time,
+    /// When the store has settled after it was restored from an older copy; `None` once it has.
+    settles_at: Option<Time>,
     /// Leafs that were retired lately, oldest first.
     retired: VecDeque<Retired>,
     /// Leafs at whose addresses other leafs were found, with the time until which they are not called.
@@ -120,6 +120,7 @@
 impl Directory {
     /// Adds or updates a leaf. Returns the incarnation that it replaces, if any.
     pub fn upsert(&mut self, entry: LeafEntry, now: Time) -> Option<LeafId> {
+        let is_settling = self.is_settling(now);
         let known = self.names.get(&entry.name).copied();
         if let Some(id) = known
             && let Some(leaf) = self.leafs.get_mut(&id)
@@ -135,13 +136,13 @@
                 leaf.drop_at = None;
                 leaf.is_outdated = false;
                 // A leaf that drains does not return to work: an entry that says so is older.
-                let draining = leaf.entry.draining && now < self.settles_at;
+                let draining = leaf.entry.draining && is_settling;
                 leaf.entry = entry;
                 leaf.entry.draining |= draining;
                 return None;
             }
         }
-        let is_outdated = now < self.settles_at && self.was_retired(&entry);
+        let is_outdated = is_settling && self.was_retired(&entry);
         let replaced = known.inspect(|&id| self.forget(id));
         self.notices.listed(&entry.name);
         let id = LeafId(self.next_id);
@@ -217,7 +218,7 @@
     /// until it has settled.
     pub fn close_domains(&mut self, domains: HashSet<Name>, now: Time) {
         let closed = std::mem::replace(&mut self.closed_domains, domains);
-        if now < self.settles_at {
+        if self.is_settling(now) {
             self.held_domains.extend(closed);
         }
         let listed = &self.closed_domains;
@@ -227,10 +228,14 @@
     /// Records that the store was restored from an older copy. Until it has settled, what it lacks is taken to be still
     /// there, and what it shows may be outdated.
     pub fn store_restored(&mut self, now: Time) {
-        self.settles_at = now + SETTLE_TIME;
+        self.settles_at = Some(now + SETTLE_TIME);
         self.hold_vanished(now);
     }
 
+    fn is_settling(&self, now: Time) -> bool {
+        self.settles_at.is_some_and(|at| now < at)
+    }
+
     /// Returns whether the incarnation of an entry was retired lately.
     fn was_retired(&self, entry: &LeafEntry) -> bool {
         let is_entry = |retired: &Retired| retired.name == entry.name && retired.born == entry.born;
@@ -336,10 +341,10 @@
 
     /// Ends what holds only until the store has settled, if it has.
     fn settle(&mut self, now: Time) {
-        if now < self.settles_at || self.settles_at == Time::default() {
+        if self.settles_at.is_none() || self.is_settling(now) {
             return;
         }
-        self.settles_at = Time::default();
+        self.settles_at = None;
         self.held_domains.clear();
         for leaf in self.leafs.values_mut() {
             leaf.is_outdated = false;
@@ -349,9 +354,8 @@
     /// Returns when [`Directory::expire`] has something to do.
     pub fn next_expiry(&self) -> Option<Time> {
         let drops = self.leafs.values().filter_map(|leaf| leaf.drop_at);
-        let settles = (self.settles_at > Time::default()).then_some(self.settles_at);
         let displaced = self.displaced.values().copied();
-        drops.chain(displaced).chain(settles).min()
+        drops.chain(displaced).chain(self.settles_at).min()
     }
 
     /// Removes the nodes that serve segments, and returns them.
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -338,6 +338,15 @@
         self.now = end;
     }
 
+    /// Serves a request on a route, and returns the posting that follows it.
+    pub fn first_post(&mut self, route: &str) -> MovePost {
+        self.request(route);
+        let call = self.calls[0].call;
+        self.end_call(call, success("1"));
+        self.run_for(Duration::from_secs(1));
+        self.posts.remove(0)
+    }
+
     /// Applies all pending postings to a ledger and passes the replies to the node.
     pub fn answer_posts(&mut self, ledger: &mut Option<Ledger>) {
         while let Some(post) = self.posts.pop() {
--- a/crates/edge/tests/moves.rs
+++ b/crates/edge/tests/moves.rs
@@ -472,11 +472,7 @@
 #[test]
 fn move_posting_without_answer_is_resent_unchanged() {
     let mut node = node(MoveState::Running);
-    node.request("r");
-    let call = node.calls[0].call;
-    node.end_call(call, success("1"));
-    node.run_for(Duration::from_secs(1));
-    let first = node.posts.remove(0);
+    let first = node.first_post("r");
     assert!(!first.posting.is_retry);
     node.apply(|edge, now, out| edge.post_ended(&first, None, now, out));
     node.run_for(Duration::from_secs(1));
